Serve on real sockets: HTTP front, leaf frames, discovery and the module's turn

One program around the module: clients over HTTP, calls to leaf servers in frames, a watch on discovery. A turn gathers events, calls react once and does the actions in order; all deadlines hang in one sorted structure.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -84,6 +84,8 @@
   complain(std::string("unknown ") + what + " '" + word + "'");
 }
 
+}  // namespace
+
 Settings readSettings(const Json& info) {
   if (!info.is_object()) complain("field 'bootInfo' is not an object");
   Settings out;
@@ -147,6 +149,8 @@
   return out;
 }
 
+namespace {
+
 std::vector<std::string> readColumns(const Json& info) {
   std::vector<std::string> out;
   for (const Json& name : list(section(info, "report"), "columns"))
--- a/src/codec.hpp
+++ b/src/codec.hpp
@@ -3,6 +3,7 @@
 
 #include <finchbridge/aggregator.hpp>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <stdexcept>
 #include <string>
 
@@ -13,6 +14,10 @@
   using std::runtime_error::runtime_error;
 };
 
+// The settings of an instance: `bootInfo` on the wire, `settings` in a real mixer's configuration. Throws
+// Malformed.
+Settings readSettings(const nlohmann::json& info);
+
 // All instances that this process hosts. They share the numbered lists of the wire and nothing else.
 class Host {
  public:
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,93 @@
+// The mixer: reads its configuration, wires the parts together, handles signals.
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+#include "net/clients.hpp"
+#include "net/config.hpp"
+#include "net/discovery.hpp"
+#include "net/leaves.hpp"
+#include "net/log.hpp"
+#include "net/loop.hpp"
+#include "net/mixer.hpp"
+
+namespace {
+
+using namespace finchbridge;
+using namespace finchbridge::net;
+
+// Descriptors kept back from clients: for leaf servers, and for discovery, the listener and the standard
+// ones.
+constexpr int kForLeaves = 256, kForOthers = 32;
+// After SIGTERM connections go on coming for a while; the program outlasts that even with nothing to do.
+constexpr Micros kDrainLeast = 700'000, kDrainLook = 20'000;
+
+int serve(const Config& config) {
+  Loop loop;
+  Counters counters;
+  const int forLeaves = std::min(kForLeaves, config.sockets / 3);
+  Leaves leaves(loop, counters, config.host, config.settings.connIdle.value_or(0), config.settings.bundleMax,
+                forLeaves);
+  Mixer mixer(loop, counters, leaves, config);
+  std::optional<std::int64_t> index;
+  if (config.known) {
+    mixer.list(*config.known, ListKind::restored);
+    index = config.known->index;
+  }
+  Discovery discovery(loop, counters, config.discovery, config.host.zones, index);
+  discovery.onList = [&](const LeafList& list) {
+    mixer.list(list, list.whole ? ListKind::complete : ListKind::changes);
+  };
+  discovery.start();
+  Clients clients(loop, counters, mixer, std::max(8, config.sockets - forLeaves - kForOthers));
+  clients.listen(config.listen);
+  logLine("%s: listening on %s:%u", config.name.c_str(), config.listen.host.c_str(),
+          unsigned(config.listen.port));
+
+  boost::asio::signal_set report(loop.strand, SIGUSR1), stop(loop.strand, SIGTERM, SIGINT);
+  std::function<void()> waitReport = [&] {
+    report.async_wait([&](const boost::system::error_code& ec, int) {
+      if (ec) return;
+      counters.print(stderr);
+      waitReport();
+    });
+  };
+  waitReport();
+  Micros stoppedAt = 0;
+  std::function<void()> drained = [&] {
+    // All that is held is finished first; then the backlog is taken, and what that brought is finished too.
+    if (loop.now() - stoppedAt >= kDrainLeast && mixer.open() == 0 && !clients.busy()) {
+      clients.finish();
+      if (!clients.busy() && mixer.open() == 0) return loop.io.stop();
+    }
+    loop.deadlines.add(loop.now() + kDrainLook, [&] { drained(); });
+  };
+  stop.async_wait([&](const boost::system::error_code& ec, int) {
+    if (ec) return;
+    logLine("%s: stopping", config.name.c_str());
+    stoppedAt = loop.now();
+    clients.drain();
+    drained();
+  });
+  loop.io.run();
+  discovery.stop();
+  leaves.closeAll();
+  counters.print(stderr);
+  return 0;
+}
+
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    const char* path = std::getenv("BALANCER_CONFIG");
+    if (!path) throw BadConfig("BALANCER_CONFIG is not set");
+    return serve(readConfigFile(path));
+  } catch (const std::exception& problem) {
+    std::fprintf(stderr, "finchbridge: %s\n", problem.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,381 @@
+#include "clients.hpp"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "log.hpp"
+
+namespace finchbridge::net {
+namespace {
+
+using boost::system::error_code;
+using Json = nlohmann::json;
+
+// A client counts its time from when it sent the request, and has its answer only when that has come back.
+constexpr Micros kWay = 3'000;
+constexpr Micros kRequestTime = 10'000'000;  // for the rest of a request, once it has begun
+constexpr Micros kLingerTime = 1'000'000;    // for the client to take the last answer and close
+constexpr Micros kIdleTime = 120'000'000;    // between requests
+constexpr Micros kAcceptPause = 20'000;
+constexpr std::size_t kBufferedMost = 128 * 1024;  // beyond it a client that pipelines is not read
+constexpr double kTimeoutMost = 3600.0;            // seconds
+
+bool isWord(const std::string& text, std::size_t most) {
+  return !text.empty() && text.size() <= most && std::ranges::all_of(text, [](unsigned char c) {
+    return c > ' ' && c < 127 && c != ',' && c != '=';
+  });
+}
+std::optional<double> decimal(const std::string& text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [at, ec] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  if (text.empty() || ec != std::errc() || at != end || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
+ReadQuery bad(const char* why, int status = 400) {
+  ReadQuery out;
+  out.status = status;
+  out.why = why;
+  return out;
+}
+
+}  // namespace
+
+ReadQuery readQuery(const HttpMessage& request, const HostSettings& host, Micros receivedAt) {
+  const std::string path = request.target.substr(0, request.target.find('?'));
+  const std::size_t slash = path.rfind('/');
+  if (path != "/api" && !path.starts_with("/api/")) return bad("unknown path", 404);
+  if (request.method != "POST") return bad("a query is a POST", 405);
+  ReadQuery out;
+  NewQuery& q = out.query;
+  const std::string* id = request.header("x-request-id");
+  if (!id || !isWord(*id, 128)) return bad("X-Request-ID is missing or no word");
+  q.id = *id;
+  const std::string* name = request.header("x-priority-class");
+  const auto cls = std::ranges::find(host.classNames, name ? *name : std::string());
+  if (cls == host.classNames.end()) return bad("unknown class");
+  q.cls = int(cls - host.classNames.begin());
+  const std::string* timeout = request.header("x-timeout");
+  const std::optional<double> seconds = timeout ? decimal(*timeout) : std::nullopt;
+  if (!seconds || *seconds <= 0 || *seconds > kTimeoutMost) return bad("X-Timeout is missing or no time");
+  q.until = receivedAt + Micros(*seconds * 1e6) - kWay;
+  if (slash > 0 && slash + 1 < path.size()) q.key = path.substr(slash + 1);
+  if (const std::string* key = request.header("idempotency-key")) {
+    if (!isWord(*key, 256)) return bad("Idempotency-Key is no word");
+    q.idempotencyKey = *key;
+  } else if (host.classKeyed[std::size_t(q.cls)]) {
+    return bad("Idempotency-Key is missing");
+  }
+  const std::string* retried = request.header("x-retried");
+  q.repeated = retried && *retried == "1";
+
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) return bad("the body is not a JSON object");
+  const auto text = body.find("expr"), parts = body.find("parts");
+  if (text == body.end() || !text->is_string()) return bad("expr is missing or not text");
+  if (parts == body.end() || !parts->is_array() || parts->empty()) return bad("parts are missing");
+  q.text = text->get<std::string>();
+  std::set<int> seen;
+  for (const Json& one : *parts) {
+    if (!one.is_object()) return bad("a part is not an object");
+    const auto shard = one.find("id"), weight = one.find("w");
+    if (shard == one.end() || !shard->is_number_integer()) return bad("a part has no shard");
+    if (weight == one.end() || !weight->is_number()) return bad("a part has no weight");
+    const double number = shard->get<double>(), w = weight->get<double>();
+    if (!(number >= 0 && number < host.shards)) return bad("no such shard");
+    if (!(w > 0 && w <= 1.001)) return bad("a part's weight is no share");
+    if (!seen.insert(int(number)).second) return bad("a part is named twice");
+    q.parts.push_back({int(number), w});
+  }
+  return out;
+}
+
+std::string writeAnswer(const FinalAnswer& answer, bool close) {
+  if (answer.kind == FinalAnswer::Kind::failed) return writeResponse(504, "", "", close);
+  if (answer.kind == FinalAnswer::Kind::refused) {
+    std::string headers;
+    if (answer.retryAfter) {
+      char line[64];
+      std::snprintf(line, sizeof line, "Retry-After: %.3f\r\n", double(*answer.retryAfter) / 1e6);
+      headers = line;
+    }
+    return writeResponse(503, headers, "", close);
+  }
+  Json rows = Json::array();
+  for (const Row& row : answer.rows) rows.push_back({{"id", row.shard}, {"data", row.value}});
+  const Json body = {{"exact", answer.whole}, {"rows", std::move(rows)}};
+  return writeResponse(200, "", body.dump(-1, ' ', false, Json::error_handler_t::replace), close);
+}
+
+struct Clients::Reader : boost::asio::coroutine {
+  Clients* clients;
+  std::shared_ptr<Connection> c;
+  Reader(Clients* owner, std::shared_ptr<Connection> connection) : clients(owner), c(std::move(connection)) {}
+  void operator()(error_code ec = {}, std::size_t bytes = 0) {
+    if (c->closed) return;
+    BOOST_ASIO_CORO_REENTER(this) {
+      c->reading = true;
+      while (c->buffered.size() < kBufferedMost) {
+        BOOST_ASIO_CORO_YIELD c->socket.async_read_some(boost::asio::buffer(c->incoming), *this);
+        if (ec) return clients->close(*c);
+        clients->received(*c, bytes);
+        if (c->closed) return;
+      }
+      c->reading = false;  // begun again when the buffer has room
+    }
+  }
+};
+
+struct Clients::Acceptor : boost::asio::coroutine {
+  Clients* clients;
+  std::shared_ptr<tcp::socket> socket;
+  explicit Acceptor(Clients* owner) : clients(owner) {}
+  void operator()(error_code ec = {}) {
+    if (!clients->acceptor_.is_open()) return;
+    BOOST_ASIO_CORO_REENTER(this) {
+      for (;;) {
+        // At the limit an idle connection makes room; without one, new clients wait in the backlog.
+        if (int(clients->connections_.size()) >= clients->connectionsMost_ && !clients->shedIdle()) {
+          clients->accepting_ = false;
+          return;
+        }
+        clients->accepting_ = true;
+        socket = std::make_shared<tcp::socket>(clients->loop_.strand);
+        BOOST_ASIO_CORO_YIELD clients->acceptor_.async_accept(*socket, *this);
+        if (ec == boost::asio::error::operation_aborted) return;
+        if (!ec) {
+          clients->accepted(std::move(*socket));
+          continue;
+        }
+        // Out of descriptors, as a rule: the waiting client must not make this a busy loop.
+        clients->counters_.add(Count::acceptFailures);
+        logLine("accept: %s", ec.message().c_str());
+        clients->shedIdle();
+        BOOST_ASIO_CORO_YIELD {
+          clients->loop_.deadlines.add(clients->loop_.now() + kAcceptPause,
+                                       [self = *this]() mutable { self(error_code()); });
+        }
+      }
+    }
+  }
+};
+
+Clients::Clients(Loop& loop, Counters& counters, Mixer& mixer, int connectionsMost)
+    : loop_(loop),
+      counters_(counters),
+      mixer_(mixer),
+      connectionsMost_(connectionsMost),
+      acceptor_(loop.strand) {}
+
+void Clients::listen(const Address& address) {
+  const tcp::endpoint at(boost::asio::ip::make_address(address.host), address.port);
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+  acceptor_.non_blocking(true);
+  Acceptor{this}();
+}
+
+void Clients::drain() { draining_ = true; }
+
+// Taken is what the machine has accepted, whether or not the program has: the backlog is emptied first.
+void Clients::finish() {
+  error_code ec;
+  while (acceptor_.is_open()) {
+    tcp::socket socket(loop_.strand);
+    acceptor_.accept(socket, ec);
+    if (ec) break;
+    accepted(std::move(socket));
+  }
+  acceptor_.close(ec);
+}
+
+bool Clients::busy() const {
+  for (const Handle h : connections_.all()) {
+    const Connection* c = connections_.get(h);
+    if (c->waiting || c->writing || !c->buffered.empty() || c->parser.begun()) return true;
+    error_code ec;
+    if (c->socket.available(ec) > 0) return true;
+  }
+  return false;
+}
+
+bool Clients::shedIdle() {
+  Connection* oldest = nullptr;
+  for (const Handle h : connections_.all()) {
+    Connection* c = connections_.get(h);
+    if (c->waiting || c->writing || !c->buffered.empty() || c->parser.begun()) continue;
+    error_code ec;
+    if (c->socket.available(ec) > 0) continue;
+    if (!oldest || c->usedAt < oldest->usedAt) oldest = c;
+  }
+  if (!oldest) return false;
+  counters_.add(Count::clientConnectionsShed);
+  close(*oldest);
+  return true;
+}
+
+void Clients::accepted(tcp::socket socket) {
+  counters_.add(Count::clientConnections);
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  socket.non_blocking(true, ignored);
+  const Handle h = connections_.add(std::move(socket));
+  Connection& c = *connections_.get(h);
+  c.self = h;
+  c.usedAt = loop_.now();
+  watch(c);
+  read(c);
+}
+
+void Clients::read(Connection& c) {
+  if (!c.reading && !c.closed) Reader(this, connections_.share(c.self))();
+}
+
+// One deadline a connection: for the request's rest, for the close after the last answer, or between
+// requests.
+void Clients::watch(Connection& c) {
+  loop_.deadlines.drop(c.deadline);
+  if (c.closed || c.waiting) return;
+  const bool begun = c.parser.begun() || !c.buffered.empty();
+  const Micros patience = c.ending ? kLingerTime : begun ? kRequestTime : kIdleTime;
+  c.deadline = loop_.deadlines.add(loop_.now() + patience, [this, h = c.self] {
+    Connection* late = connections_.get(h);
+    if (!late) return;
+    late->deadline.reset();
+    if (late->ending || !late->parser.begun()) return close(*late);
+    counters_.add(Count::badRequests);
+    late->keep = false;
+    respond(*late, writeResponse(408, "", "", true));
+  });
+}
+
+void Clients::received(Connection& c, std::size_t bytes) {
+  if (c.ending) return;  // what still comes after the last answer is read and dropped, so that it is no reset
+  const bool first = !c.parser.begun() && c.buffered.empty();
+  if (first) c.receivedAt = loop_.now();
+  c.buffered.append(c.incoming.data(), bytes);
+  process(c);
+  if (!c.closed && !c.waiting && first) watch(c);
+}
+
+void Clients::process(Connection& c) {
+  const std::shared_ptr<Connection> keep = connections_.share(c.self);
+  while (!c.closed && !c.waiting && !c.ending && !c.buffered.empty()) {
+    std::string_view in = c.buffered;
+    const HttpParser::State state = c.parser.feed(in);
+    c.buffered.erase(0, c.buffered.size() - in.size());
+    if (state == HttpParser::State::more) return;
+    if (state == HttpParser::State::bad) {
+      counters_.add(Count::badRequests);
+      c.keep = false;
+      respond(c, writeResponse(c.parser.errorStatus(), "", "", true));
+      return;
+    }
+    handle(c, c.parser.take());
+  }
+}
+
+void Clients::handle(Connection& c, HttpMessage request) {
+  counters_.add(Count::requests);
+  c.keep = request.keepAlive;
+  c.usedAt = loop_.now();
+  if (request.target == "/up") {
+    const bool up = mixer_.ready() && !draining_;
+    if (draining_) c.keep = false;
+    return respond(c, writeResponse(up ? 200 : 503, "", "", !c.keep));
+  }
+  ReadQuery read = readQuery(request, mixer_.host(), c.receivedAt);
+  c.waiting = true;
+  loop_.deadlines.drop(c.deadline);
+  if (read.status == 0) {
+    const bool taken = mixer_.submit(
+        std::move(read.query),
+        [this, h = c.self](FinalAnswer answer) {
+          Connection* to = connections_.get(h);
+          if (!to) return;
+          if (draining_) to->keep = false;
+          respond(*to, writeAnswer(answer, !to->keep));
+        },
+        c.query);
+    if (taken) return;
+    read = {400, "X-Request-ID is in use", {}};
+  }
+  counters_.add(Count::badRequests);
+  logLine("request turned away: %s", read.why);
+  c.keep = false;
+  const Json body = {{"error", read.why}};
+  respond(c, writeResponse(read.status, "", body.dump(), true));
+}
+
+// The answer to the present request; then the next one, or the end of the connection.
+void Clients::respond(Connection& c, std::string response) {
+  c.waiting = false;
+  c.query = {};
+  c.ending = !c.keep;
+  c.usedAt = c.receivedAt = loop_.now();
+  c.outgoing += response;
+  watch(c);
+  flush(c);
+  if (c.closed || c.ending || c.buffered.empty()) return;
+  boost::asio::post(loop_.strand,
+                    [this, h = c.self] {  // a pipelined request, not from within its forerunner's turn
+                      Connection* next = connections_.get(h);
+                      if (!next) return;
+                      process(*next);
+                      if (!next->closed) read(*next);
+                    });
+}
+
+void Clients::flush(Connection& c) {
+  if (c.closed || c.writing) return;
+  std::size_t done = 0;
+  while (done < c.outgoing.size()) {
+    error_code ec;
+    done += c.socket.write_some(boost::asio::buffer(c.outgoing) + done, ec);
+    if (ec == boost::asio::error::would_block || ec == boost::asio::error::try_again) {
+      c.writing = true;
+      c.socket.async_wait(tcp::socket::wait_write, [this, h = c.self](const error_code&) {
+        Connection* again = connections_.get(h);
+        if (!again) return;
+        again->writing = false;
+        flush(*again);
+      });
+      break;
+    }
+    if (ec) return close(c);
+  }
+  c.outgoing.erase(0, done);
+  if (c.outgoing.empty() && c.ending) end(c);
+}
+
+// Says that nothing more comes and waits for the client to close: to close with something unread would reset
+// the connection and could cost the client its answer.
+void Clients::end(Connection& c) {
+  error_code ignored;
+  c.socket.shutdown(tcp::socket::shutdown_send, ignored);
+  c.buffered.clear();
+  read(c);
+}
+
+void Clients::close(Connection& c) {
+  if (c.closed) return;
+  const std::shared_ptr<Connection> keep = connections_.share(c.self);
+  c.closed = true;
+  loop_.deadlines.drop(c.deadline);
+  error_code ignored;
+  c.socket.close(ignored);
+  connections_.remove(c.self);
+  if (c.waiting) mixer_.abandon(c.query);
+  if (!accepting_ && acceptor_.is_open()) {
+    accepting_ = true;
+    boost::asio::post(loop_.strand, [this] { Acceptor{this}(); });
+  }
+}
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/clients.hpp
@@ -0,0 +1,79 @@
+// The HTTP front: accepts clients' connections, turns requests into queries for the mixer and final answers
+// into responses.
+#pragma once
+
+#include <array>
+#include <boost/asio/coroutine.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "counters.hpp"
+#include "http.hpp"
+#include "loop.hpp"
+#include "mixer.hpp"
+#include "slots.hpp"
+
+namespace finchbridge::net {
+
+// What a request asks for, or the status to turn it away with.
+struct ReadQuery {
+  int status = 0;  // 0: the query is good
+  const char* why = "";
+  NewQuery query;
+};
+ReadQuery readQuery(const HttpMessage& request, const HostSettings& host, Micros receivedAt);
+std::string writeAnswer(const FinalAnswer& answer, bool close);
+
+class Clients {
+ public:
+  using tcp = boost::asio::ip::tcp;
+
+  Clients(Loop& loop, Counters& counters, Mixer& mixer, int connectionsMost);
+  void listen(const Address& address);  // throws boost::system::system_error
+  void drain();                         // from now on answers end their connections, and /up says no
+  void finish();                        // closes the listener, takes what it still held, and all that is idle
+  bool busy() const;                    // a request has begun to come in or waits for its answer
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    explicit Connection(tcp::socket s) : socket(std::move(s)), parser(HttpParser::Kind::request) {}
+    tcp::socket socket;
+    HttpParser parser;
+    Handle self, query;
+    bool waiting = false;  // for the answer to a request
+    bool keep = true;      // of the request that is being answered
+    bool ending = false;   // the last answer is on its way
+    bool reading = false, writing = false, closed = false;
+    Micros receivedAt = 0, usedAt = 0;
+    std::string buffered, outgoing;
+    std::array<char, 8192> incoming;
+    std::optional<Deadlines::Key> deadline;
+  };
+  struct Reader;
+  struct Acceptor;
+
+  void accepted(tcp::socket socket);
+  void received(Connection& c, std::size_t bytes);
+  void process(Connection& c);
+  void handle(Connection& c, HttpMessage request);
+  void respond(Connection& c, std::string response);
+  void flush(Connection& c);
+  void end(Connection& c);
+  void close(Connection& c);
+  void watch(Connection& c);
+  void read(Connection& c);
+  bool shedIdle();
+
+  Loop& loop_;
+  Counters& counters_;
+  Mixer& mixer_;
+  int connectionsMost_;
+  tcp::acceptor acceptor_;
+  bool accepting_ = false, draining_ = false;
+  Slots<Connection> connections_;
+};
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,122 @@
+#include "config.hpp"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+#include "../codec.hpp"
+
+namespace finchbridge::net {
+namespace {
+
+using Json = nlohmann::json;
+
+const Json& need(const Json& object, const char* name) {
+  const auto at = object.find(name);
+  if (at == object.end()) throw BadConfig(std::string("'") + name + "' is missing");
+  return *at;
+}
+std::vector<std::string> words(const Json& info, const char* name) {
+  std::vector<std::string> out;
+  for (const Json& one : info.value(name, Json::array())) out.push_back(one.get<std::string>());
+  return out;
+}
+HostSettings readHost(const Json& info) {
+  HostSettings out;
+  out.zones = words(info, "zones");
+  for (const Json& one : need(info, "categories")) {
+    out.classNames.push_back(need(one, "name").get<std::string>());
+    out.classKeyed.push_back(one.value("effect", "safe") == "keyed");
+  }
+  out.shards = need(need(info, "familyInfo"), "ranges").get<int>();
+  const Json limits = info.value("limits", Json::object());
+  out.streams = std::max(1, limits.value("maxStreams", 1));
+  out.connectTimeout = Micros(limits.value("connectTimeout", 1000.0) * 1000.0);
+  out.mayRetryAfter = limits.value("retryAfter", false);
+  return out;
+}
+
+}  // namespace
+
+Address readAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Address out;
+  out.host = text.substr(0, colon);
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(out.host, ec);
+  const char* end = text.data() + text.size();
+  if (ec || colon == std::string::npos ||
+      std::from_chars(text.data() + colon + 1, end, out.port).ptr != end || out.port == 0)
+    throw BadConfig("'" + text + "' is not an address and a port");
+  return out;
+}
+
+LeafList readList(const Json& body, const std::vector<std::string>& zones) try {
+  LeafList out;
+  out.index = need(body, "index").get<std::int64_t>();
+  out.whole = need(body, "snapshot").get<bool>();
+  const Json& endpoints = need(body, "endpoints");
+  if (!endpoints.is_array()) throw BadConfig("'endpoints' is not a list");
+  for (const Json& one : endpoints) {
+    LeafEntry entry;
+    entry.name = need(one, "name").get<std::string>();
+    if (entry.name.empty()) throw BadConfig("a leaf server has no name");
+    const std::string status = need(one, "status").get<std::string>();
+    if (status == "Ready")
+      entry.state = ServerState::serving;
+    else if (status == "Terminating")
+      entry.state = ServerState::draining;
+    else if (status == "Gone")
+      entry.state = ServerState::gone;
+    else
+      throw BadConfig("unknown status '" + status + "'");
+    // Of what is gone nothing else need be told.
+    if (entry.state != ServerState::gone || one.contains("address"))
+      entry.address = readAddress(need(one, "address").get<std::string>());
+    const auto zone = std::ranges::find(zones, one.value("zone", std::string()));
+    entry.zone = zone == zones.end() ? int(zones.size()) : int(zone - zones.begin());
+    entry.cell = entry.state == ServerState::gone ? one.value("group", 0) : need(one, "group").get<int>();
+    entry.sinceMs = one.value("since_ms", std::int64_t(0));
+    out.entries.push_back(std::move(entry));
+  }
+  return out;
+} catch (const Json::exception& problem) {
+  throw BadConfig(problem.what());
+}
+
+Config readConfig(const Json& body) try {
+  Config out;
+  out.name = body.value("name", "");
+  out.listen = readAddress(need(body, "listen").get<std::string>());
+  out.discovery = readAddress(need(body, "discovery").get<std::string>());
+  const std::string seed = need(body, "seed").get<std::string>();
+  const char* end = seed.data() + seed.size();
+  if (seed.empty() || std::from_chars(seed.data(), end, out.seed, 16).ptr != end)
+    throw BadConfig("'seed' is not a number in hex");
+  if (body.contains("limits")) out.sockets = body["limits"].value("sockets", out.sockets);
+  const Json& settings = need(body, "settings");
+  out.settings = wire::readSettings(settings);
+  if (out.settings.classes.empty()) throw BadConfig("'categories' names no class");
+  out.host = readHost(settings);
+  if (out.host.shards <= 0) throw BadConfig("'ranges' is not a number of shards");
+  if (body.contains("known") && !body["known"].is_null()) out.known = readList(body["known"], out.host.zones);
+  return out;
+} catch (const Json::exception& problem) {
+  throw BadConfig(problem.what());
+} catch (const wire::Malformed& problem) {
+  throw BadConfig(problem.what());
+}
+
+Config readConfigFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw BadConfig("cannot read '" + path + "'");
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  const Json body = Json::parse(text, nullptr, false);
+  if (!body.is_object()) throw BadConfig("'" + path + "' is not a JSON object");
+  return readConfig(body);
+}
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/counters.cpp
@@ -0,0 +1,43 @@
+#include "counters.hpp"
+
+#include <cinttypes>
+
+namespace finchbridge::net {
+
+void Counters::print(std::FILE* to) const {
+  static constexpr std::array<const char*, static_cast<std::size_t>(Count::number)> names = {
+      "client_connections",
+      "client_connections_shed",
+      "requests",
+      "bad_requests",
+      "queries_taken",
+      "queries_refused_full",
+      "answered_whole",
+      "answered_partly",
+      "refused",
+      "failed",
+      "clients_gone",
+      "backstops",
+      "defects",
+      "sends",
+      "cancels",
+      "late_answers",
+      "bad_frames",
+      "leaf_connections",
+      "leaf_connects_failed",
+      "leaf_connections_lost",
+      "lists",
+      "lists_malformed",
+      "discovery_failures",
+      "accept_failures",
+      "turns"};
+  static constexpr std::array<const char*, static_cast<std::size_t>(Outcome::skipped) + 1> outcomes = {
+      "done", "error", "busy", "timed_out", "connect_failed", "reset", "cancelled", "skipped"};
+  for (std::size_t k = 0; k < names.size(); ++k)
+    std::fprintf(to, "counter %s %" PRIu64 "\n", names[k], counts_[k]);
+  for (std::size_t k = 0; k < outcomes.size(); ++k)
+    std::fprintf(to, "counter outcome_%s %" PRIu64 "\n", outcomes[k], outcomes_[k]);
+  std::fflush(to);
+}
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,137 @@
+#include "discovery.hpp"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include "log.hpp"
+
+namespace finchbridge::net {
+namespace {
+
+using boost::system::error_code;
+
+constexpr int kWaitMs = 20'000;
+constexpr Micros kGrace = 2'000'000;  // beyond the wait, until a watch counts as failed
+constexpr Micros kGapFirst = 50'000, kGapMost = 1'000'000;
+
+}  // namespace
+
+// Connects, then asks and reads in turn: the next call goes out as soon as an answer is in, for a later one
+// would start a new watch.
+struct Discovery::Driver : boost::asio::coroutine {
+  Discovery* d;
+  std::shared_ptr<Connection> c;
+  Driver(Discovery* discovery, std::shared_ptr<Connection> connection)
+      : d(discovery), c(std::move(connection)) {}
+  void operator()(error_code ec = {}, std::size_t bytes = 0) {
+    if (c->closed) return;
+    if (ec) return d->failed(*c, ec.message().c_str());
+    BOOST_ASIO_CORO_REENTER(this) {
+      BOOST_ASIO_CORO_YIELD c->socket.async_connect(
+          tcp::endpoint(boost::asio::ip::make_address(d->address_.host), d->address_.port), *this);
+      c->socket.set_option(tcp::no_delay(true), ec);
+      for (;;) {
+        c->request = d->nextRequest();
+        d->expect();
+        BOOST_ASIO_CORO_YIELD boost::asio::async_write(c->socket, boost::asio::buffer(c->request), *this);
+        for (;;) {
+          {
+            std::string_view in = c->buffered;
+            const HttpParser::State state = c->parser.feed(in);
+            c->buffered.erase(0, c->buffered.size() - in.size());
+            if (state == HttpParser::State::bad) return d->failed(*c, "malformed answer");
+            if (state == HttpParser::State::done) break;
+          }
+          BOOST_ASIO_CORO_YIELD c->socket.async_read_some(boost::asio::buffer(c->incoming), *this);
+          c->buffered.append(c->incoming.data(), bytes);
+        }
+        {
+          const HttpMessage response = c->parser.take();
+          if (!d->accept(response)) return d->failed(*c, "malformed list");
+          if (!response.keepAlive) return d->failed(*c, "connection closed");
+        }
+      }
+    }
+  }
+};
+
+Discovery::Discovery(Loop& loop, Counters& counters, Address address, std::vector<std::string> zones,
+                     std::optional<std::int64_t> index)
+    : loop_(loop),
+      counters_(counters),
+      address_(std::move(address)),
+      zones_(std::move(zones)),
+      index_(index),
+      gap_(kGapFirst) {}
+
+void Discovery::start() { connect(); }
+
+void Discovery::stop() {
+  loop_.deadlines.drop(deadline_);
+  if (!connection_) return;
+  connection_->closed = true;
+  error_code ignored;
+  connection_->socket.close(ignored);
+  connection_.reset();
+}
+
+void Discovery::connect() {
+  connection_ = std::make_shared<Connection>(loop_.strand);
+  expect();
+  Driver(this, connection_)();
+}
+
+std::string Discovery::nextRequest() const {
+  std::string target = "/discovery/hosts";
+  if (index_) target += "?since=" + std::to_string(*index_) + "&timeout_ms=" + std::to_string(kWaitMs);
+  return writeGet(target, address_.host + ":" + std::to_string(address_.port));
+}
+
+void Discovery::expect() {
+  loop_.deadlines.drop(deadline_);
+  deadline_ = loop_.deadlines.add(loop_.now() + Micros(kWaitMs) * 1000 + kGrace, [this] {
+    deadline_.reset();
+    if (connection_) failed(*connection_, "no answer");
+  });
+}
+
+// A malformed list leaves everything as it was, and the whole list is asked for next: what changed can't be
+// told.
+bool Discovery::accept(const HttpMessage& response) {
+  const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  try {
+    if (response.status != 200 || !body.is_object()) throw BadConfig("not a list");
+    LeafList list = readList(body, zones_);
+    // Changes are only good after the version that they were asked from.
+    if (!list.whole && !index_) throw BadConfig("changes, where the whole list was asked for");
+    index_ = list.index;
+    gap_ = kGapFirst;
+    counters_.add(Count::lists);
+    if (onList && (list.whole || !list.entries.empty())) onList(std::move(list));
+    return true;
+  } catch (const BadConfig& problem) {
+    counters_.add(Count::listsMalformed);
+    logLine("list from discovery not used: %s", problem.what());
+    if (response.status == 200) index_.reset();
+    return false;
+  }
+}
+
+void Discovery::failed(Connection& c, const char* why) {
+  if (c.closed) return;
+  c.closed = true;
+  error_code ignored;
+  c.socket.close(ignored);
+  connection_.reset();
+  counters_.add(Count::discoveryFailures);
+  logLine("discovery: %s", why);
+  loop_.deadlines.drop(deadline_);
+  deadline_ = loop_.deadlines.add(loop_.now() + gap_, [this] {
+    deadline_.reset();
+    connect();
+  });
+  gap_ = std::min(kGapMost, gap_ * 2);
+}
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/frame.cpp
@@ -0,0 +1,100 @@
+#include "frame.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+
+namespace finchbridge::net {
+namespace {
+
+constexpr std::uint32_t kFrameMost = 256 * 1024;  // a length beyond this is no frame of ours
+
+template <typename T>
+bool number(std::string_view text, T& out) {
+  const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return !text.empty() && ec == std::errc() && end == text.data() + text.size();
+}
+
+}  // namespace
+
+std::string writeFrame(char letter, std::string_view rest) {
+  const std::uint32_t length = std::uint32_t(rest.size() + 1);
+  std::string out;
+  for (int k = 0; k < 4; ++k) out += char((length >> (8 * k)) & 0xff);
+  out += letter;
+  out += rest;
+  return out;
+}
+
+std::string writePart(std::string_view id, int shard, std::string_view list, std::string_view text) {
+  std::string out(id);
+  out += ' ' + std::to_string(shard) + ' ';
+  out += list;
+  out += ' ' + std::to_string(text.size()) + '\n';
+  out += text;
+  return out;
+}
+
+std::optional<LeafAnswer> readAnswer(const Frame& frame) {
+  const std::string_view rest = frame.rest;
+  const std::size_t end = rest.find('\n');
+  if (frame.letter != 'O' || end == std::string_view::npos) return std::nullopt;
+  std::string_view words[4], line = rest.substr(0, end);
+  for (int k = 0; k < 4; ++k) {
+    const std::size_t space = line.find(' ');
+    if (k < 3 && space == std::string_view::npos) return std::nullopt;
+    words[k] = line.substr(0, k < 3 ? space : line.size());
+    if (words[k].empty()) return std::nullopt;
+    line.remove_prefix(k < 3 ? space + 1 : line.size());
+  }
+  LeafAnswer out;
+  out.id = words[0];
+  if (words[1] == "200")
+    out.outcome = Outcome::done;
+  else if (words[1] == "500")
+    out.outcome = Outcome::error;
+  else if (words[1] == "503")
+    out.outcome = Outcome::busy;
+  else
+    return std::nullopt;
+  if (!number(words[2], out.score) && words[2] != "-") return std::nullopt;
+  if (words[3] != "-") {
+    LoadReport load;
+    std::string_view report = words[3];
+    while (!report.empty()) {
+      const std::string_view item = report.substr(0, report.find(','));
+      report.remove_prefix(std::min(item.size() + 1, report.size()));
+      const std::size_t equals = item.find('=');
+      double value = 0;
+      if (equals == std::string_view::npos || !number(item.substr(equals + 1), value)) return std::nullopt;
+      if (item.substr(0, equals) == "inflight") load.held = value;
+      if (item.substr(0, equals) == "queue") load.waiting = value;
+    }
+    out.load = load;
+  }
+  out.value = rest.substr(end + 1);
+  return out;
+}
+
+FrameReader::State FrameReader::next(Frame& out) {
+  if (buffer_.size() - from_ < 4) {
+    buffer_.erase(0, from_);
+    from_ = 0;
+    return State::more;
+  }
+  std::uint32_t length = 0;
+  for (int k = 0; k < 4; ++k)
+    length |= std::uint32_t(static_cast<unsigned char>(buffer_[from_ + std::size_t(k)])) << (8 * k);
+  if (length == 0 || length > kFrameMost) return State::bad;
+  if (buffer_.size() - from_ < 4 + std::size_t(length)) {
+    buffer_.erase(0, from_);
+    from_ = 0;
+    return State::more;
+  }
+  out.letter = buffer_[from_ + 4];
+  out.rest.assign(buffer_, from_ + 5, length - 1);
+  from_ += 4 + std::size_t(length);
+  return State::frame;
+}
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/frame.hpp
@@ -0,0 +1,42 @@
+// Frames between a mixer and leaf servers. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <finchbridge/aggregator.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace finchbridge::net {
+
+struct Frame {
+  char letter = 0;
+  std::string rest;
+};
+
+// An answer to a part.
+struct LeafAnswer {
+  std::string id;
+  Outcome outcome = Outcome::done;  // done, error or busy
+  long double score = 0;            // wide enough for any 64-bit number
+  std::optional<LoadReport> load;
+  std::string value;
+};
+
+std::string writeFrame(char letter, std::string_view rest);
+// One part of a call: `ID SHARD LIST LENGTH`, a line end and the text.
+std::string writePart(std::string_view id, int shard, std::string_view list, std::string_view text);
+std::optional<LeafAnswer> readAnswer(const Frame& frame);
+
+class FrameReader {
+ public:
+  enum class State { more, frame, bad };
+  void append(std::string_view bytes) { buffer_.append(bytes); }
+  State next(Frame& out);
+
+ private:
+  std::string buffer_;
+  std::size_t from_ = 0;
+};
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/leaves.hpp
@@ -0,0 +1,108 @@
+// Connections to leaf servers: opens few and keeps them, carries calls, and tells how each attempt ended.
+#pragma once
+
+#include <array>
+#include <boost/asio/coroutine.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config.hpp"
+#include "counters.hpp"
+#include "frame.hpp"
+#include "loop.hpp"
+#include "slots.hpp"
+
+namespace finchbridge::net {
+
+// One part of a call, as the mixer hands it over.
+struct Call {
+  Handle attempt;
+  std::string id;
+  int shard = 0;
+  std::string list;  // what follows `d` in the list
+  std::shared_ptr<const std::string> text;
+  Micros until = 0;
+};
+
+class Leaves {
+ public:
+  using tcp = boost::asio::ip::tcp;
+  // Tells the end of an attempt, at most once for each; never called from within send or giveUp.
+  using Ended = std::function<void(Handle attempt, Outcome outcome, LeafAnswer answer)>;
+
+  Leaves(Loop& loop, Counters& counters, HostSettings host, Micros connIdle, int bundleMost,
+         int connectionsMost);
+  Ended onEnded;
+
+  void update(const LeafEntry& entry);
+  void keepOnly(const std::vector<LeafEntry>& entries);  // others are gone
+  void send(const std::string& server, std::vector<Call> calls);
+  // The attempt's end is no longer waited for; nothing more is told of it. Of its id, no new attempt goes to
+  // the same connection, where the answer of this one might still come.
+  void giveUp(Handle attempt);
+  void forget(const std::string& id);  // its query has ended: no newer attempt can come
+  void closeIdle(const std::string& server);
+  std::size_t connections() const { return connections_.size(); }
+  void closeAll();
+
+ private:
+  struct Server;
+  struct Out {
+    Handle attempt;
+    bool dead = false;            // given up; kept so that its late answer is known for what it is
+    std::uint64_t writtenAt = 0;  // place of its frame's last byte in the stream
+  };
+  struct Connection {
+    explicit Connection(const boost::asio::any_io_executor& ex) : socket(ex) {}
+    tcp::socket socket;
+    std::string server;
+    Address address;
+    Handle self;
+    bool up = false, waitsToWrite = false, closed = false;
+    std::vector<std::vector<Call>> pending;  // calls that wait for the connection to come up
+    std::map<std::string, Out> out;          // by part id
+    int streams = 0;                         // live parts out and pending
+    std::string outgoing;
+    std::uint64_t queued = 0, written = 0;  // bytes, over the connection's life
+    FrameReader reader;
+    std::array<char, 16384> incoming;
+    std::optional<Deadlines::Key> deadline;  // connect time-out, later idle limit
+  };
+  struct Place {
+    std::string server;
+    Handle connection;
+    std::string id;
+  };
+  struct Server {
+    LeafEntry entry;
+    std::vector<Handle> connections;
+  };
+  struct Driver;
+
+  Handle pick(Server& server, const std::vector<Call>& calls);
+  std::shared_ptr<Connection> open(Server& server);
+  void cameUp(Connection& c);
+  void write(Connection& c, std::vector<Call> calls);
+  void flush(Connection& c);
+  void received(Connection& c, std::size_t bytes);
+  void answered(Connection& c, LeafAnswer answer);
+  void lost(Connection& c, const char* why, bool expected);
+  void touch(Connection& c);
+  void end(Handle attempt, Outcome outcome, LeafAnswer answer = {});
+
+  Loop& loop_;
+  Counters& counters_;
+  HostSettings host_;
+  Micros connIdle_;
+  int bundleMost_, connectionsMost_;
+  std::map<std::string, Server> servers_;
+  Slots<Connection> connections_;
+  std::unordered_map<std::uint64_t, Place> places_;  // attempt -> where it is
+};
+
+}  // namespace finchbridge::net
--- /dev/null
+++ b/src/net/loop.hpp
@@ -0,0 +1,54 @@
+// The one thread: io_context, strand, deadlines and the turn. Whatever wants a turn asks for it; however
+// often it is asked, one turn follows, at once.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <chrono>
+#include <functional>
+
+#include "deadlines.hpp"
+
+namespace finchbridge::net {
+
+class Loop {
+ public:
+  Loop() : strand(io.get_executor()), wake_(strand) {
+    deadlines.onEarlier = [this] { arm(); };
+  }
+  static Micros now() {
+    const auto t = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(t).count();
+  }
+  void wantTurn() {
+    if (wanted_) return;
+    wanted_ = true;
+    boost::asio::post(strand, [this] {
+      wanted_ = false;
+      if (turn) turn();
+      deadlines.sweep(now());
+      arm();
+    });
+  }
+
+  boost::asio::io_context io{1};
+  boost::asio::strand<boost::asio::io_context::executor_type> strand;
+  Deadlines deadlines;
+  std::function<void()> turn;
+
+ private:
+  void arm() {
+    const auto next = deadlines.next();
+    if (!next) return;
+    wake_.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(*next)));
+    wake_.async_wait([this](const boost::system::error_code& ec) {
+      if (!ec) wantTurn();
+    });
+  }
+  boost::asio::steady_timer wake_;
+  bool wanted_ = false;
+};
+
+}  // namespace finchbridge::net
