Test parsers, tables, leaf connections and the whole program over sockets

Found while writing them: a failed scenario left the program running and the test hung; it now dies with its parent.

--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,318 @@
+// Parsers, tables and deadlines by themselves, and the connections to one scripted leaf server. Plain
+// asserts.
+#include <cassert>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "net/clients.hpp"
+#include "net/deadlines.hpp"
+#include "net/frame.hpp"
+#include "net/http.hpp"
+#include "net/leaves.hpp"
+#include "net/slots.hpp"
+
+#ifdef NDEBUG
+#error "a test without asserts can't fail"
+#endif
+
+using namespace finchbridge;
+using namespace finchbridge::net;
+
+namespace {
+
+// 0: done; -1: more is wanted; otherwise the status to turn it away with. In pieces of any size the same.
+int parse(const std::string& text, HttpMessage* out = nullptr, std::string* left = nullptr) {
+  int result[3];
+  const std::size_t pieces[3] = {1, 7, 100'000};
+  for (int k = 0; k < 3; ++k) {
+    HttpParser parser(HttpParser::Kind::request);
+    HttpParser::State state = HttpParser::State::more;
+    std::string unread;
+    for (std::size_t at = 0; at < text.size(); at += pieces[k]) {
+      const std::string piece = text.substr(at, pieces[k]);
+      std::string_view in = piece;
+      if (state == HttpParser::State::more) state = parser.feed(in);
+      unread += in;
+    }
+    result[k] = state == HttpParser::State::done   ? 0
+                : state == HttpParser::State::more ? -1
+                                                   : parser.errorStatus();
+    if (state == HttpParser::State::done && out) *out = parser.take();
+    if (left) *left = unread;
+  }
+  assert(result[0] == result[1] && result[1] == result[2]);
+  return result[0];
+}
+
+void httpRequests() {
+  const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  HttpMessage m;
+  std::string left;
+  assert(parse(head + "Content-Length: 3\r\nX-A:  b c \r\n\r\nxyzNEXT", &m, &left) == 0);
+  assert(m.body == "xyz" && left == "NEXT" && *m.header("x-a") == "b c" && m.keepAlive);
+  assert(parse(head + "Transfer-Encoding: chunked\r\n\r\n2;e=1\r\nab\r\n1\r\nc\r\n0\r\nT: 1\r\n\r\n", &m) ==
+         0);
+  assert(m.body == "abc");
+  assert(parse("\r\nGET / HTTP/1.0\r\nConnection: close\r\n\r\n", &m) == 0 && !m.keepAlive);
+  assert(parse(head + "Connection: x, Close\r\n\r\n", &m) == 0 && !m.keepAlive);
+  assert(parse(head + "Content-Length: 3\r\n\r\nxy") == -1);
+  assert(parse("GET /\r\n") == 400);
+  assert(parse("GET / HTTP/1.1\r\n\r\n") == 400);  // no Host
+  assert(parse("GET / HTTP/2.0\r\n") == 505);
+  assert(parse(head + "Bad Name: 1\r\n") == 400);
+  assert(parse(head + " folded\r\n") == 400);
+  assert(parse(head + "X: \x01\r\n") == 400);
+  assert(parse(head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n") == 400);
+  assert(parse(head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") == 400);
+  assert(parse(head + "Content-Length: -1\r\n\r\n") == 400);
+  assert(parse(head + "Content-Length: 65536\r\n\r\n") == -1);
+  assert(parse(head + "Content-Length: 65537\r\n\r\n") == 413);
+  assert(parse(head + "Content-Length: 99999999999999999999999\r\n\r\n") == 400);
+  assert(parse(head + "Transfer-Encoding: gzip\r\n\r\n") == 501);
+  assert(parse(head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n") == 400);
+  assert(parse(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n") == 400);
+  assert(parse(head + "Transfer-Encoding: chunked\r\n\r\n10000\r\n" + std::string(65536, 'x') +
+               "\r\n1\r\n") == 413);
+  assert(parse(head + "X: " + std::string(20'000, 'x')) == 431);  // no end in sight: nothing is kept of it
+}
+
+void frames() {
+  FrameReader reader;
+  Frame frame;
+  const std::string bytes = writeFrame('O', "q.1 200 17 inflight=7,queue=2\nva\nlue") + writeFrame('I', "");
+  for (const char c : bytes.substr(0, bytes.size() - 1)) reader.append({&c, 1});
+  assert(reader.next(frame) == FrameReader::State::frame && frame.letter == 'O');
+  assert(reader.next(frame) == FrameReader::State::more);
+  const auto answer = readAnswer({'O', "q.1 200 17 inflight=7,queue=2\nva\nlue"});
+  assert(answer && answer->id == "q.1" && answer->outcome == Outcome::done && answer->score == 17);
+  assert(answer->value == "va\nlue" && answer->load->held == 7 && answer->load->waiting == 2);
+  assert(readAnswer({'O', "q 503 - -\n"})->outcome == Outcome::busy);
+  assert(readAnswer({'O', "q 500 0 -\n"})->outcome == Outcome::error);
+  // Scores are compared: two that differ in the last of 64 bits must not come out equal.
+  assert(readAnswer({'O', "q 200 18446744073709551615 -\n"})->score >
+         readAnswer({'O', "q 200 18446744073709551614 -\n"})->score);
+  for (const char* bad :
+       {"", "q 200 1 -", "q 200 1\n", "q 201 1 -\n", "q 200 x -\n", "q 200 1 a\n", " 200 1 -\n"})
+    assert(!readAnswer({'O', bad}));
+  assert(!readAnswer({'Z', "q 200 1 -\n"}));
+  assert(writePart("q.1", 1, "d=5", "ab") == "q.1 1 d=5 2\nab");
+  for (const std::string& bad : {std::string(4, '\0'), std::string("\xff\xff\xff\x7f")}) {
+    FrameReader other;
+    other.append(bad);
+    assert(other.next(frame) == FrameReader::State::bad);
+  }
+}
+
+void slots() {
+  Slots<int> table;
+  const Handle first = table.add(1);
+  assert(table.remove(first) && !table.remove(first));
+  const Handle second = table.add(2);
+  assert(second.index == first.index && !table.get(first) && *table.get(second) == 2);
+  assert(table.size() == 1 && table.all().size() == 1 && !table.get(Handle{}));
+}
+
+void deadlines() {
+  Deadlines all;
+  std::string ran;
+  int earlier = 0;
+  all.onEarlier = [&] { ++earlier; };
+  all.add(30, [&] { ran += 'c'; });
+  std::optional<Deadlines::Key> dropped = all.add(20, [&] { ran += 'x'; });
+  std::optional<Deadlines::Key> other;
+  all.add(10, [&] {
+    ran += 'a';
+    all.drop(dropped);                 // one that is due in the same sweep
+    all.add(10, [&] { ran += 'b'; });  // for the next sweep, or a sweep might never end
+    other = all.add(25, [&] { ran += 'y'; });
+  });
+  assert(earlier == 3 && all.next() == 10);
+  assert(all.sweep(9) == 0 && all.sweep(30) == 2 && ran == "ac" && !dropped);
+  all.drop(other);
+  all.drop(other);
+  assert(all.sweep(30) == 1 && ran == "acb" && all.size() == 0 && !all.next());
+}
+
+void requests() {
+  HostSettings host;
+  host.classNames = {"plain", "keyed"};
+  host.classKeyed = {false, true};
+  host.shards = 8;
+  HttpMessage m;
+  m.method = "POST";
+  m.target = "/api/user7";
+  m.headers = {
+      {"x-request-id", "r"}, {"x-priority-class", "plain"}, {"x-timeout", "0.480"}, {"x-retried", "1"}};
+  m.body = R"({"parts":[{"id":3,"w":0.5,"hint":9000,"tag":"00"},{"id":7,"w":0.5}],"expr":"c4"})";
+  const ReadQuery read = readQuery(m, host, 1'000'000);
+  assert(read.status == 0 && read.query.key == "user7" && read.query.repeated && read.query.text == "c4");
+  assert(read.query.parts.size() == 2 && read.query.parts[1].shard == 7 && read.query.parts[1].weight == 0.5);
+  // The client counts from when it sent: the end lies ahead of what its time would give from here.
+  assert(read.query.until < 1'480'000 && read.query.until > 1'400'000);
+  const auto status = [&](auto change) {
+    HttpMessage other = m;
+    change(other);
+    return readQuery(other, host, 0).status;
+  };
+  assert(status([](auto& o) { o.method = "PUT"; }) == 405);
+  assert(status([](auto& o) { o.target = "/apix"; }) == 404);
+  for (const char* id : {"", "two words", "a,b"})
+    assert(status([&](auto& o) { o.headers[0].second = id; }) == 400);
+  for (const char* time : {"", "0", "-1", "nan", "inf", "1e3", "5s", "99999"})
+    assert(status([&](auto& o) { o.headers[2].second = time; }) == 400);
+  assert(status([](auto& o) { o.headers[1].second = "keyed"; }) == 400);
+  for (const char* body :
+       {"", "[]", "{}", R"({"parts":[],"expr":""})", R"({"parts":[{"id":0,"w":1}]})",
+        R"({"parts":[{"id":0,"w":1}],"expr":1})", R"({"parts":[{"id":0}],"expr":""})",
+        R"({"parts":[{"id":-1,"w":1}],"expr":""})", R"({"parts":[{"id":1.5,"w":1}],"expr":""})",
+        R"({"parts":[{"id":0,"w":0}],"expr":""})",
+        R"({"parts":[{"id":99999999999999999999,"w":1}],"expr":""})"})
+    assert(status([&](auto& o) { o.body = body; }) == 400);
+}
+
+void lists() {
+  using nlohmann::json;
+  const json good =
+      json::parse(R"({"index":4,"snapshot":true,"endpoints":[{"name":"s","address":"127.0.0.1:80",
+    "zone":"b","group":3,"status":"Terminating","since_ms":5},{"name":"g","status":"Gone"}]})");
+  const LeafList list = readList(good, {"a", "b"});
+  assert(list.index == 4 && list.whole && list.entries.size() == 2 && list.entries[0].zone == 1);
+  assert(list.entries[0].state == ServerState::draining && list.entries[1].state == ServerState::gone);
+  const auto refused = [&](const char* path, json value) {
+    json body = good;
+    body[json::json_pointer(path)] = std::move(value);
+    try {
+      readList(body, {});
+      return false;
+    } catch (const BadConfig&) {
+      return true;
+    }
+  };
+  assert(refused("/index", "x") && refused("/snapshot", 1) && refused("/endpoints", json::object()));
+  assert(refused("/endpoints/0/status", "Asleep") && refused("/endpoints/0/address", "nowhere"));
+  assert(refused("/endpoints/0/name", "") && refused("/endpoints/0/address", "127.0.0.1:99999"));
+}
+
+// One leaf server, scripted: what it reads and sends is done by hand between runs of the loop.
+struct LeafRig {
+  using tcp = boost::asio::ip::tcp;
+  Loop loop;
+  Counters counters;
+  tcp::acceptor acceptor{loop.io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+  Leaves leaves;
+  Slots<int> attempts;
+  std::vector<std::pair<Handle, Outcome>> ends;
+
+  static HostSettings host(Micros connectTimeout) {
+    HostSettings out;
+    out.streams = 2;
+    out.connectTimeout = connectTimeout;
+    return out;
+  }
+  explicit LeafRig(Micros connIdle = 0, int most = 8)
+      : leaves(loop, counters, host(10'000'000), connIdle, 1, most) {
+    leaves.onEnded = [this](Handle h, Outcome outcome, LeafAnswer) { ends.emplace_back(h, outcome); };
+    update(ServerState::serving);
+  }
+  void update(ServerState state) {
+    LeafEntry entry;
+    entry.name = "s";
+    entry.address = {"127.0.0.1", acceptor.local_endpoint().port()};
+    entry.state = state;
+    leaves.update(entry);
+  }
+  Handle send(const std::string& id) {
+    const Handle h = attempts.add(0);
+    leaves.send("s", {Call{h, id, 0, "", std::make_shared<const std::string>("t"), loop.now() + 5'000'000}});
+    return h;
+  }
+  template <typename Done>
+  void until(Done done) {
+    while (!done()) loop.io.run_one_for(std::chrono::seconds(1));
+  }
+  tcp::socket accept() { return acceptor.accept(); }
+  // The next frame, read by the server's side.
+  static Frame read(tcp::socket& socket, FrameReader& reader) {
+    Frame frame;
+    std::array<char, 4096> bytes;
+    while (reader.next(frame) != FrameReader::State::frame)
+      reader.append({bytes.data(), socket.read_some(boost::asio::buffer(bytes))});
+    return frame;
+  }
+};
+
+// The ids of an attempt given up and of a newer one of the same part are equal: they never share a
+// connection, and the late answer of the first passes for nothing.
+void lateAnswerOfAnOlderAttempt() {
+  LeafRig rig;
+  const Handle first = rig.send("q.0");
+  auto a = rig.accept();
+  FrameReader fromA, fromB;
+  rig.until([&] { return a.available() > 0; });
+  assert(LeafRig::read(a, fromA).letter == 'D');
+  rig.leaves.giveUp(first);
+  assert(LeafRig::read(a, fromA).letter == 'K');
+  const Handle second = rig.send("q.0");
+  auto b = rig.accept();
+  rig.until([&] { return b.available() > 0; });
+  assert(LeafRig::read(b, fromB).letter == 'D');
+  a.write_some(boost::asio::buffer(writeFrame('O', "q.0 200 1 -\nold")));
+  rig.until([&] { return rig.counters.of(Count::lateAnswers) == 1; });
+  assert(rig.ends.empty());
+  b.write_some(boost::asio::buffer(writeFrame('O', "q.0 200 1 -\nnew")));
+  rig.until([&] { return !rig.ends.empty(); });
+  assert(rig.ends.size() == 1 && rig.ends[0] == std::make_pair(second, Outcome::done));
+}
+
+// A send that still waits for its connection goes out neither after its end nor to a server told to drain.
+void waitingSends() {
+  LeafRig rig;
+  const Handle dropped = rig.send("q.0"), kept = rig.send("q.1");
+  rig.leaves.giveUp(dropped);
+  auto a = rig.accept();
+  FrameReader reader;
+  rig.until([&] { return a.available() > 0; });
+  assert(LeafRig::read(a, reader).rest.starts_with("q.1 "));
+  assert(rig.ends.empty());
+  a.close();
+  rig.until([&] { return !rig.ends.empty(); });
+  assert(rig.ends.back() == std::make_pair(kept, Outcome::reset));
+  const Handle late = rig.send("q.2");
+  rig.update(ServerState::draining);
+  assert(rig.ends.back() == std::make_pair(late, Outcome::connectFailed));
+  const Handle refused = rig.send("q.3");
+  assert(rig.ends.back() == std::make_pair(refused, Outcome::connectFailed));
+}
+
+// A connection carries so many streams, then there is another; idle ones are closed ahead of the limit, and
+// at the bound on connections a send fails rather than take the descriptors of others.
+void connections() {
+  LeafRig rig(/*connIdle=*/200'000, /*most=*/2);
+  for (const char* id : {"q.0", "q.1", "q.2", "q.3"}) rig.send(id);
+  assert(rig.leaves.connections() == 2 && rig.ends.empty());
+  const Handle fifth = rig.send("q.4");
+  assert(rig.ends.back() == std::make_pair(fifth, Outcome::connectFailed));
+  auto a = rig.accept(), b = rig.accept();
+  FrameReader reader;
+  rig.until([&] { return a.available() > 0 && b.available() > 0; });
+  for (const char* id : {"q.0", "q.1"})
+    a.write_some(boost::asio::buffer(writeFrame('O', std::string(id) + " 200 1 -\n")));
+  rig.until([&] { return rig.ends.size() == 3; });
+  rig.until([&] { return rig.leaves.connections() == 1; });  // the idle one; the other has parts out
+  assert(rig.counters.of(Count::leafConnectionsLost) == 0);
+}
+
+}  // namespace
+
+int main() {
+  httpRequests();
+  frames();
+  slots();
+  deadlines();
+  requests();
+  lists();
+  lateAnswerOfAnOlderAttempt();
+  waitingSends();
+  connections();
+  std::puts("all passed");
+}
--- /dev/null
+++ b/tests/scenario.cpp
@@ -0,0 +1,343 @@
+// Plays one scenario against the program: starts it with scripted peers on loopback, then goes through the
+// lines. A name stands for a connection or a listener; text knows \r \n \\ and $NAME (a listener's address);
+// a pattern is text in which * stands for anything. Nothing here is timed but `wait`: what is expected may
+// take its time.
+//
+//   leaf NAME CELL                   a listener that the list as last held names as a ready leaf server
+//   absent NAME CELL                 the same, but nothing listens there
+//   listen NAME                      a listener; D, discovery's, is always there
+//   start [PATH=JSON ...]            the program, with settings changed
+//   connect C | accept C NAME        a client's connection | what has connected to the listener
+//   send C raw TEXT | http STATUS BODY | frame LETTER TEXT | query ID CLASS SECONDS SHARDS
+//   expect C status CODE PATTERN | frame LETTER PATTERN | request PATTERN | end
+//   expect log PATTERN | exit CODE
+//   close C | reset C | wait MS | signal NAME
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "net/frame.hpp"
+#include "net/http.hpp"
+
+using namespace finchbridge::net;
+using Json = nlohmann::json;
+
+#ifdef NDEBUG
+#error "a scenario without asserts can't fail"
+#endif
+
+namespace {
+
+std::string where;  // file and line, for what fails
+void check(bool good, const std::string& what) {
+  if (!good) std::fprintf(stderr, "%s: %s\n", where.c_str(), what.c_str());
+  assert(good);
+}
+
+struct Peer {
+  int fd = -1;
+  std::string in;
+  HttpParser requests{HttpParser::Kind::request}, responses{HttpParser::Kind::response};
+  FrameReader frames;
+};
+std::map<std::string, Peer> peers;
+std::map<std::string, std::string> addresses;  // of listeners
+Json endpoints = Json::array();
+std::string mixerAddress, configFile;
+pid_t program = -1;
+int exitStatus = -1;
+Peer log;
+
+bool matches(const char* pattern, const char* text) {
+  if (!*pattern) return !*text;
+  if (*pattern == '*') return matches(pattern + 1, text) || (*text && matches(pattern, text + 1));
+  return *pattern == *text && matches(pattern + 1, text + 1);
+}
+std::string unescape(const std::string& text) {
+  std::string out;
+  for (std::size_t k = 0; k < text.size(); ++k) {
+    if (text[k] == '\\' && k + 1 < text.size()) {
+      const char c = text[++k];
+      out += c == 'n' ? '\n' : c == 'r' ? '\r' : c;
+    } else if (text[k] == '$') {
+      std::string name;
+      while (k + 1 < text.size() && std::isalnum(static_cast<unsigned char>(text[k + 1]))) name += text[++k];
+      check(addresses.contains(name), "no listener " + name);
+      out += addresses[name];
+    } else {
+      out += text[k];
+    }
+  }
+  return out;
+}
+sockaddr_in socketAddress(const std::string& text) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  const std::size_t colon = text.find(':');
+  inet_pton(AF_INET, text.substr(0, colon).c_str(), &out.sin_addr);
+  out.sin_port = htons(std::uint16_t(std::stoi(text.substr(colon + 1))));
+  return out;
+}
+// A loopback address of this process's own, so that scenarios can run side by side.
+std::string openListener(const std::string& name, bool listening) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int pid = getpid();
+  sockaddr_in at = socketAddress("127." + std::to_string(64 + (pid >> 16) % 64) + "." +
+                                 std::to_string((pid >> 8) % 256) + "." + std::to_string(pid % 256) + ":0");
+  check(bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0, "bind");
+  if (listening) check(listen(fd, 64) == 0, "listen");
+  socklen_t size = sizeof at;
+  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  char host[32];
+  inet_ntop(AF_INET, &at.sin_addr, host, sizeof host);
+  addresses[name] = std::string(host) + ":" + std::to_string(ntohs(at.sin_port));
+  peers[name].fd = fd;
+  return addresses[name];
+}
+Peer& peer(const std::string& name) {
+  check(peers.contains(name), "no connection " + name);
+  return peers[name];
+}
+// Appends what comes; false at the end of the stream.
+bool readMore(Peer& p) {
+  pollfd one{p.fd, POLLIN, 0};
+  check(poll(&one, 1, 20'000) == 1, "nothing came");
+  char buffer[8192];
+  const ssize_t n = read(p.fd, buffer, sizeof buffer);
+  if (n <= 0) return false;
+  p.in.append(buffer, std::size_t(n));
+  return true;
+}
+HttpMessage readHttp(Peer& p, HttpParser& parser) {
+  for (;;) {
+    std::string_view in = p.in;
+    const HttpParser::State state = parser.feed(in);
+    p.in.erase(0, p.in.size() - in.size());
+    check(state != HttpParser::State::bad, "malformed HTTP");
+    if (state == HttpParser::State::done) return parser.take();
+    check(readMore(p), "the connection ended before a whole message");
+  }
+}
+Frame readFrame(Peer& p) {
+  Frame frame;
+  for (;;) {
+    p.frames.append(p.in);
+    p.in.clear();
+    const FrameReader::State state = p.frames.next(frame);
+    check(state != FrameReader::State::bad, "malformed frame");
+    if (state == FrameReader::State::frame) return frame;
+    check(readMore(p), "the connection ended before a whole frame");
+  }
+}
+
+void start(std::istringstream& words) {
+  Json config = Json::parse(R"({"name":"n0","seed":"8c1f30d27a5be964","limits":{"sockets":1024},"settings":{
+    "balancers":1,"discovery":"pushed","tick":5.0,"zones":["a","b"],"az":0,
+    "categories":[{"name":"plain","aim":5000.0,"hardLimit":20000.0,"lateShare":0.5,"effect":"safe"},
+      {"name":"keyed","aim":5000.0,"hardLimit":20000.0,"lateShare":0.5,"effect":"keyed","dedupWindow":5000.0},
+      {"name":"plan","aim":5000.0,"hardLimit":20000.0,"lateShare":0.5,"effect":"safe"}],
+    "familyInfo":{"positions":1,"ranges":8,"reach":1,"bundleMax":1,"needByClass":[1.0,1.0,1.0],
+      "classFloor":[1.0,1.0,1.0],"followUp":[0,0,2]},
+    "limits":{"cancel":true,"secondCopies":true,"maxAttempts":3,"maxOpen":100,"maxRetryAfter":500.0,
+      "retryAfter":true,"connIdle":15000.0,"connectTimeout":5000.0,"maxStreams":100},
+    "safety":{"drainGrace":1000.0}}})");
+  std::string change;
+  while (words >> change) {
+    const std::size_t equals = change.find('=');
+    std::string path = "/" + change.substr(0, equals);
+    std::replace(path.begin(), path.end(), '.', '/');
+    config[Json::json_pointer(path)] = Json::parse(change.substr(equals + 1));
+  }
+  openListener("M", false);
+  mixerAddress = addresses["M"];
+  close(peers["M"].fd);
+  config["listen"] = mixerAddress;
+  config["discovery"] = addresses["D"];
+  config["known"] = {{"index", 1}, {"snapshot", true}, {"endpoints", endpoints}};
+  configFile = "/tmp/scenario-" + std::to_string(getpid()) + ".json";
+  std::ofstream(configFile) << config.dump();
+  int pipes[2];
+  check(pipe2(pipes, O_CLOEXEC) == 0, "pipe");
+  program = fork();
+  if (program == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed scenario leaves nothing running
+    dup2(pipes[1], 2);
+    setenv("BALANCER_CONFIG", configFile.c_str(), 1);
+    execl(SCENARIO_PROGRAM, SCENARIO_PROGRAM, nullptr);
+    _exit(127);
+  }
+  close(pipes[1]);
+  log.fd = pipes[0];
+}
+void connectClient(const std::string& name) {
+  const sockaddr_in to = socketAddress(mixerAddress);
+  for (int tries = 0; tries < 1000; ++tries) {  // until it listens
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0) {
+      peers[name] = Peer{};
+      peers[name].fd = fd;
+      return;
+    }
+    close(fd);
+    usleep(20'000);
+  }
+  check(false, "the program does not listen");
+}
+void sendText(Peer& p, const std::string& text) {
+  check(send(p.fd, text.data(), text.size(), MSG_NOSIGNAL) == ssize_t(text.size()), "send");
+}
+// `0,3` as shards; a class named `keyed` carries the key K-ID.
+std::string queryText(std::istringstream& words) {
+  std::string id, cls, seconds, shards, one;
+  words >> id >> cls >> seconds >> shards;
+  Json parts = Json::array();
+  const double n = double(std::count(shards.begin(), shards.end(), ',') + 1);
+  for (std::istringstream list(shards); std::getline(list, one, ',');)
+    parts.push_back({{"id", std::stoi(one)}, {"w", 1.0 / n}});
+  const std::string body = Json{{"parts", parts}, {"expr", "text-" + id}}.dump();
+  std::string out = "POST /api/user7 HTTP/1.1\r\nHost: h\r\nX-Request-ID: " + id +
+                    "\r\nX-Priority-Class: " + cls + "\r\nX-Timeout: " + seconds + "\r\n";
+  if (cls == "keyed") out += "Idempotency-Key: K-" + id + "\r\n";
+  return out + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+std::string rest(std::istringstream& words) {
+  std::string out;
+  std::getline(words >> std::ws, out);
+  return unescape(out);
+}
+void expectLog(const std::string& pattern) {
+  for (;;) {
+    std::size_t end;
+    while ((end = log.in.find('\n')) == std::string::npos) check(readMore(log), "not in the log: " + pattern);
+    const std::string line = log.in.substr(0, end);
+    log.in.erase(0, end + 1);
+    if (matches(pattern.c_str(), line.c_str())) return;
+  }
+}
+void expectExit(int status) {
+  for (int tries = 0; tries < 1000 && program > 0; ++tries) {
+    int how = 0;
+    if (waitpid(program, &how, WNOHANG) == program) {
+      program = -1;
+      exitStatus = WIFEXITED(how) ? WEXITSTATUS(how) : 128 + WTERMSIG(how);
+    }
+    usleep(20'000);
+  }
+  check(exitStatus == status, "exit status " + std::to_string(exitStatus));
+}
+
+void play(const std::string& line) {
+  std::istringstream words(line);
+  std::string verb, name, what;
+  if (!(words >> verb) || verb[0] == '#') return;
+  if (verb == "start") return start(words);
+  words >> name;
+  if (verb == "wait") {
+    usleep(useconds_t(std::stoi(name)) * 1000);
+  } else if (verb == "listen") {
+    openListener(name, true);
+  } else if (verb == "leaf" || verb == "absent") {
+    int cell = 0;
+    words >> cell;
+    const std::string at = openListener(name, verb == "leaf");
+    endpoints.push_back({{"name", name},
+                         {"address", at},
+                         {"zone", "a"},
+                         {"group", cell},
+                         {"status", "Ready"},
+                         {"since_ms", 0}});
+  } else if (verb == "connect") {
+    connectClient(name);
+  } else if (verb == "accept") {
+    words >> what;
+    pollfd one{peer(what).fd, POLLIN, 0};
+    check(poll(&one, 1, 20'000) == 1, "nobody connected to " + what);
+    const int fd = accept4(peer(what).fd, nullptr, nullptr, SOCK_CLOEXEC);
+    peers[name] = Peer{};
+    peers[name].fd = fd;
+  } else if (verb == "signal") {
+    kill(program, name == "TERM" ? SIGTERM : SIGUSR1);
+  } else if (verb == "close" || verb == "reset") {
+    const linger now{1, 0};
+    if (verb == "reset") setsockopt(peer(name).fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close(peer(name).fd);
+    peers.erase(name);
+  } else if (verb == "send") {
+    words >> what;
+    std::string head;
+    if (what == "raw") return sendText(peer(name), rest(words));
+    if (what == "query") return sendText(peer(name), queryText(words));
+    words >> head;
+    if (what == "frame") return sendText(peer(name), writeFrame(head[0], rest(words)));
+    check(what == "http", "unknown: " + line);
+    sendText(peer(name), writeResponse(std::stoi(head), "", rest(words), false));
+  } else if (verb == "expect" && name == "log") {
+    expectLog(rest(words));
+  } else if (verb == "expect" && name == "exit") {
+    expectExit(std::stoi(rest(words)));
+  } else {
+    check(verb == "expect", "unknown: " + line);
+    Peer& p = peer(name);
+    std::string head, got;
+    words >> what;
+    if (what == "end") {
+      check(p.in.empty() && !readMore(p), "no end, but: " + p.in);
+      return;
+    }
+    if (what != "request") words >> head;
+    if (what == "frame") {
+      const Frame frame = readFrame(p);
+      got = frame.letter + std::string(" ") + frame.rest;
+    } else if (what == "request") {
+      const HttpMessage m = readHttp(p, p.requests);
+      got = m.method + " " + m.target;
+    } else {
+      check(what == "status", "unknown: " + line);
+      const HttpMessage m = readHttp(p, p.responses);
+      got = std::to_string(m.status) + " ";
+      for (const auto& [header, value] : m.headers) got += header + ": " + value + "; ";
+      got += m.body;
+    }
+    const std::string pattern = (head.empty() ? "" : head + " ") + rest(words);
+    check(matches(pattern.c_str(), got.c_str()), "expected " + pattern + "\n  got " + got);
+  }
+}
+
+}  // namespace
+
+int main(int count, char** names) {
+  assert(count == 2);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::ifstream file(names[1]);
+  std::string line;
+  int at = 0;
+  openListener("D", true);
+  while (std::getline(file, line)) {
+    where = std::string(names[1]) + ":" + std::to_string(++at);
+    play(line);
+  }
+  check(at > 0, "no scenario");
+  if (program > 0) {  // every scenario ends with an orderly stop, and none with a defect
+    kill(program, SIGTERM);
+    expectLog("counter backstops 0");
+    expectLog("counter defects 0");
+    expectExit(0);
+  }
+  unlink(configFile.c_str());
+}
