Count only open parts against maxOpen; drop connections older than a restart

Also guarded, each with a test that fails without it or rejects what must be rejected: a connection from before its server's last start (its parts end as reset at once), a value that is no UTF-8 (JSON would change it), a malformed list as last held (asked for anew), a descriptor limit under the told one. scenario.full fails with the old count.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,7 @@
 // The mixer: reads its configuration, wires the parts together, handles signals.
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
@@ -24,10 +27,17 @@
 // After SIGTERM connections go on coming for a while; the program outlasts that even with nothing to do.
 constexpr Micros kDrainLeast = 700'000, kDrainLook = 20'000;
 
+int descriptors(int told) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return told;
+  return int(std::min<rlim_t>(limit.rlim_cur, rlim_t(told)));
+}
+
 int serve(const Config& config) {
   Loop loop;
   Counters counters;
-  const int forLeaves = std::min(kForLeaves, config.sockets / 3);
+  const int sockets = descriptors(config.sockets);
+  const int forLeaves = std::min(kForLeaves, sockets / 3);
   Leaves leaves(loop, counters, config.host, config.settings.connIdle.value_or(0), config.settings.bundleMax,
                 forLeaves);
   Mixer mixer(loop, counters, leaves, config);
@@ -41,7 +51,7 @@
     mixer.list(list, list.whole ? ListKind::complete : ListKind::changes);
   };
   discovery.start();
-  Clients clients(loop, counters, mixer, std::max(8, config.sockets - forLeaves - kForOthers));
+  Clients clients(loop, counters, mixer, std::max(8, sockets - forLeaves - kForOthers));
   clients.listen(config.listen);
   logLine("%s: listening on %s:%u", config.name.c_str(), config.listen.host.c_str(),
           unsigned(config.listen.port));
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "../codec.hpp"
+#include "log.hpp"
 
 namespace finchbridge::net {
 namespace {
@@ -102,7 +103,12 @@
   if (out.settings.classes.empty()) throw BadConfig("'categories' names no class");
   out.host = readHost(settings);
   if (out.host.shards <= 0) throw BadConfig("'ranges' is not a number of shards");
-  if (body.contains("known") && !body["known"].is_null()) out.known = readList(body["known"], out.host.zones);
+  // The list as last held only saves time: without a good one discovery is asked for the whole.
+  if (body.contains("known") && !body["known"].is_null()) try {
+      out.known = readList(body["known"], out.host.zones);
+    } catch (const BadConfig& problem) {
+      logLine("list as last held not used: %s", problem.what());
+    }
   return out;
 } catch (const Json::exception& problem) {
   throw BadConfig(problem.what());
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -15,6 +15,31 @@
   return !text.empty() && ec == std::errc() && end == text.data() + text.size();
 }
 
+// A value stands in a JSON answer unchanged or not at all.
+bool isUtf8(std::string_view text) {
+  for (std::size_t k = 0; k < text.size();) {
+    const auto byte = [&](std::size_t at) {
+      return at < text.size() ? static_cast<unsigned char>(text[at]) : 0u;
+    };
+    const unsigned first = byte(k);
+    const int more = first < 0x80       ? 0
+                     : first >> 5 == 6  ? 1
+                     : first >> 4 == 14 ? 2
+                     : first >> 3 == 30 ? 3
+                                        : -1;
+    if (more < 0) return false;
+    unsigned code = more == 0 ? first : first & (0x3fu >> more);
+    for (int j = 1; j <= more; ++j) {
+      if (byte(k + std::size_t(j)) >> 6 != 2) return false;
+      code = code << 6 | (byte(k + std::size_t(j)) & 0x3f);
+    }
+    static constexpr unsigned least[4] = {0, 0x80, 0x800, 0x10000};
+    if (code < least[more] || code > 0x10ffff || (code >= 0xd800 && code < 0xe000)) return false;
+    k += std::size_t(more) + 1;
+  }
+  return true;
+}
+
 }  // namespace
 
 std::string writeFrame(char letter, std::string_view rest) {
@@ -73,6 +98,7 @@
     out.load = load;
   }
   out.value = rest.substr(end + 1);
+  if (!isUtf8(out.value)) return std::nullopt;
   return out;
 }
 
--- a/src/net/leaves.cpp
+++ b/src/net/leaves.cpp
@@ -1,6 +1,7 @@
 #include "leaves.hpp"
 
 #include <algorithm>
+#include <chrono>
 
 #include "log.hpp"
 
@@ -54,7 +55,6 @@
 void Leaves::update(const LeafEntry& entry) {
   Server& s = servers_[entry.name];
   const bool moved = entry.state != ServerState::gone && s.entry.address != entry.address;
-  const bool restarted = s.entry.sinceMs != entry.sinceMs && entry.sinceMs != 0;
   const Address old = s.entry.address;
   s.entry = entry;
   if (entry.state == ServerState::gone && entry.address.port == 0) s.entry.address = old;
@@ -72,8 +72,12 @@
           end(call.attempt, Outcome::connectFailed);
         }
     }
-    if (c->streams == 0 && (moved || restarted || entry.state == ServerState::gone))
-      lost(*c, "its server moved or restarted", true);
+    // From before its server's last start nothing more comes on a connection, even where no reset has told
+    // so; the list is late, so one that is newer than that start stays.
+    if (c->up && entry.sinceMs > c->upAtMs)
+      lost(*c, "its server has restarted", true);
+    else if (c->streams == 0 && (moved || entry.state == ServerState::gone))
+      lost(*c, "its server has moved or gone", true);
   }
 }
 
@@ -154,6 +158,8 @@
 
 void Leaves::cameUp(Connection& c) {
   c.up = true;
+  const auto unixNow = std::chrono::system_clock::now().time_since_epoch();
+  c.upAtMs = std::chrono::duration_cast<std::chrono::milliseconds>(unixNow).count();
   touch(c);
   std::vector<std::vector<Call>> waiting;
   waiting.swap(c.pending);
--- a/src/net/leaves.hpp
+++ b/src/net/leaves.hpp
@@ -63,6 +63,7 @@
     std::string server;
     Address address;
     Handle self;
+    std::int64_t upAtMs = 0;  // Unix time, as in the list
     bool up = false, waitsToWrite = false, closed = false;
     std::vector<std::vector<Call>> pending;  // calls that wait for the connection to come up
     std::map<std::string, Out> out;          // by part id
--- a/src/net/mixer.cpp
+++ b/src/net/mixer.cpp
@@ -223,6 +223,11 @@
 void Mixer::act(const Subscribe&) {}  // the watch is always on
 void Mixer::act(const Note& a) { logLine("%s", a.text.c_str()); }
 
+int Mixer::openParts(const Query& q) {
+  return int(std::count_if(q.parts.begin() + std::ptrdiff_t(q.stepBegin), q.parts.end(),
+                           [](const Part& p) { return !p.done; }));
+}
+
 // The parts of the second step go to the shards with the highest scores among those that are in.
 void Mixer::beginSecondStep(Handle h, Query& q, bool whole) {
   std::vector<const Part*> in;
@@ -238,7 +243,7 @@
   for (const Part* p : in) shards.push_back(p->shard);
   q.step = 2;
   q.firstWhole = whole;
-  held_ += int(shards.size()) - int(q.parts.size());
+  held_ += int(shards.size()) - openParts(q);
   q.stepBegin = q.parts.size();
   for (const int shard : shards) {
     Part part;
@@ -263,6 +268,8 @@
   Part& part = q->parts[was.part];
   if (outcome == Outcome::done && !part.done && !q->ended && was.part >= q->stepBegin) {
     part.done = true;
+    --held_;  // a part whose answer is in is held no longer: to count it refuses queries that there is room
+              // for
     part.score = answer.score;
     part.value = std::move(answer.value);
   }
@@ -276,7 +283,7 @@
   if (q.ended) return;
   q.ended = true;
   --openQueries_;
-  held_ -= 1 + int(q.parts.size() - q.stepBegin);
+  held_ -= 1 + openParts(q);
   loop_.deadlines.drop(q.backstop);
   Answered answered;
   std::swap(answered, q.answered);
--- a/src/net/mixer.hpp
+++ b/src/net/mixer.hpp
@@ -107,6 +107,7 @@
   void act(const Subscribe& a);
   void act(const Note& a);
 
+  static int openParts(const Query& q);  // of the present step
   void push(Event event);
   void ended(Handle attempt, Outcome outcome, LeafAnswer answer);
   void beginSecondStep(Handle h, Query& q, bool whole);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -94,6 +94,10 @@
   for (const char* bad :
        {"", "q 200 1 -", "q 200 1\n", "q 201 1 -\n", "q 200 x -\n", "q 200 1 a\n", " 200 1 -\n"})
     assert(!readAnswer({'O', bad}));
+  // A value that JSON can't hold would reach the client changed.
+  assert(readAnswer({'O', "q 200 1 -\n\xc3\xa9\xf0\x9f\x9a\x91"}));
+  for (const char* value : {"\xff", "\xc3", "\xc3(", "\xc0\x80", "\xed\xa0\x80", "\xf4\x90\x80\x80"})
+    assert(!readAnswer({'O', std::string("q 200 1 -\n") + value}));
   assert(!readAnswer({'Z', "q 200 1 -\n"}));
   assert(writePart("q.1", 1, "d=5", "ab") == "q.1 1 d=5 2\nab");
   for (const std::string& bad : {std::string(4, '\0'), std::string("\xff\xff\xff\x7f")}) {
@@ -214,11 +218,12 @@
     leaves.onEnded = [this](Handle h, Outcome outcome, LeafAnswer) { ends.emplace_back(h, outcome); };
     update(ServerState::serving);
   }
-  void update(ServerState state) {
+  void update(ServerState state, std::int64_t sinceMs = 0) {
     LeafEntry entry;
     entry.name = "s";
     entry.address = {"127.0.0.1", acceptor.local_endpoint().port()};
     entry.state = state;
+    entry.sinceMs = sinceMs;
     leaves.update(entry);
   }
   Handle send(const std::string& id) {
@@ -284,6 +289,23 @@
   assert(rig.ends.back() == std::make_pair(refused, Outcome::connectFailed));
 }
 
+// A connection from before its server's last start is dead even if nothing has said so, and what is out on it
+// was lost; one that is newer than that start is good, for the list tells of it late.
+void restartedServer() {
+  using namespace std::chrono;
+  LeafRig rig;
+  const std::int64_t before =
+      duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count() - 1000;
+  const Handle h = rig.send("q.0");
+  auto a = rig.accept();
+  rig.until([&] { return a.available() > 0; });
+  rig.update(ServerState::serving, before);
+  assert(rig.ends.empty() && rig.leaves.connections() == 1);
+  rig.update(ServerState::serving, before + 60'000);
+  assert(rig.ends.size() == 1 && rig.ends[0] == std::make_pair(h, Outcome::reset));
+  assert(rig.leaves.connections() == 0);
+}
+
 // A connection carries so many streams, then there is another; idle ones are closed ahead of the limit, and
 // at the bound on connections a send fails rather than take the descriptors of others.
 void connections() {
@@ -313,6 +335,7 @@
   lists();
   lateAnswerOfAnOlderAttempt();
   waitingSends();
+  restartedServer();
   connections();
   std::puts("all passed");
 }
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -157,6 +157,7 @@
     "limits":{"cancel":true,"secondCopies":true,"maxAttempts":3,"maxOpen":100,"maxRetryAfter":500.0,
       "retryAfter":true,"connIdle":15000.0,"connectTimeout":5000.0,"maxStreams":100},
     "safety":{"drainGrace":1000.0}}})");
+  config["known"] = {{"index", 1}, {"snapshot", true}, {"endpoints", endpoints}};
   std::string change;
   while (words >> change) {
     const std::size_t equals = change.find('=');
@@ -169,7 +170,6 @@
   close(peers["M"].fd);
   config["listen"] = mixerAddress;
   config["discovery"] = addresses["D"];
-  config["known"] = {{"index", 1}, {"snapshot", true}, {"endpoints", endpoints}};
   configFile = "/tmp/scenario-" + std::to_string(getpid()) + ".json";
   std::ofstream(configFile) << config.dump();
   int pipes[2];
