--- a/include/finchbridge/aggregator.hpp
+++ b/include/cometdeal/aggregator.hpp
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace finchbridge {
+namespace cometdeal {
 
 using Micros = std::int64_t;
 
@@ -171,4 +171,4 @@
   std::unique_ptr<Brain> brain_;
 };
 
-}  // namespace finchbridge
+}  // namespace cometdeal
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,13 +1,13 @@
-// Every decision of finchbridge. Interface: include/finchbridge/aggregator.hpp. Reasons: docs/design.md.
+// Every decision of cometdeal. Interface: include/cometdeal/aggregator.hpp. Reasons: docs/design.md.
 #include <algorithm>
 #include <cmath>
+#include <cometdeal/aggregator.hpp>
 #include <deque>
-#include <finchbridge/aggregator.hpp>
 #include <map>
 #include <set>
 #include <utility>
 
-namespace finchbridge {
+namespace cometdeal {
 namespace {
 
 constexpr Micros kMs = 1000, kSecond = 1000 * kMs, kNever = INT64_MAX / 4;
@@ -944,4 +944,4 @@
   return std::move(brain_->out);
 }
 
-}  // namespace finchbridge
+}  // namespace cometdeal
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-namespace finchbridge::wire {
+namespace cometdeal::wire {
 namespace {
 
 using Json = nlohmann::json;
@@ -336,4 +336,4 @@
   return object("steps", std::move(steps)).dump();
 }
 
-}  // namespace finchbridge::wire
+}  // namespace cometdeal::wire
--- a/src/codec.hpp
+++ b/src/codec.hpp
@@ -1,13 +1,13 @@
 // The simulator's JSON wire, read into events and written from actions. Translates; decides nothing.
 #pragma once
 
-#include <finchbridge/aggregator.hpp>
+#include <cometdeal/aggregator.hpp>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <stdexcept>
 #include <string>
 
-namespace finchbridge::wire {
+namespace cometdeal::wire {
 
 // What is wrong with the input, in one line.
 struct Malformed : std::runtime_error {
@@ -30,4 +30,4 @@
   std::map<std::int64_t, std::vector<std::string>> columns_;
 };
 
-}  // namespace finchbridge::wire
+}  // namespace cometdeal::wire
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-using namespace finchbridge;
-using namespace finchbridge::net;
+using namespace cometdeal;
+using namespace cometdeal::net;
 
 // Descriptors kept back from clients: for leaf servers, and for discovery, the listener and the standard
 // ones.
@@ -97,7 +97,7 @@
     if (!path) throw BadConfig("BALANCER_CONFIG is not set");
     return serve(readConfigFile(path));
   } catch (const std::exception& problem) {
-    std::fprintf(stderr, "finchbridge: %s\n", problem.what());
+    std::fprintf(stderr, "cometdeal: %s\n", problem.what());
     return 2;
   }
 }
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -9,7 +9,7 @@
 
 #include "log.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 using boost::system::error_code;
@@ -378,4 +378,4 @@
   }
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -15,7 +15,7 @@
 #include "mixer.hpp"
 #include "slots.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 // What a request asks for, or the status to turn it away with.
 struct ReadQuery {
@@ -76,4 +76,4 @@
   Slots<Connection> connections_;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -10,7 +10,7 @@
 #include "../codec.hpp"
 #include "log.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 using Json = nlohmann::json;
@@ -125,4 +125,4 @@
   return readConfig(body);
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -2,15 +2,15 @@
 // for readConfig's one file.
 #pragma once
 
+#include <cometdeal/aggregator.hpp>
 #include <cstdint>
-#include <finchbridge/aggregator.hpp>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 struct BadConfig : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -60,4 +60,4 @@
 Config readConfig(const nlohmann::json& body);   // throws BadConfig
 Config readConfigFile(const std::string& path);  // throws BadConfig
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -2,7 +2,7 @@
 
 #include <cinttypes>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 void Counters::print(std::FILE* to) const {
   static constexpr std::array<const char*, static_cast<std::size_t>(Count::number)> names = {
@@ -40,4 +40,4 @@
   std::fflush(to);
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <array>
+#include <cometdeal/aggregator.hpp>
 #include <cstdint>
 #include <cstdio>
-#include <finchbridge/aggregator.hpp>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 enum class Count {
   clientConnections,
@@ -51,4 +51,4 @@
   std::array<std::uint64_t, static_cast<std::size_t>(Outcome::skipped) + 1> outcomes_{};
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/deadlines.hpp
+++ b/src/net/deadlines.hpp
@@ -2,14 +2,14 @@
 // once a turn and sleeps until the earliest.
 #pragma once
 
+#include <cometdeal/aggregator.hpp>
 #include <cstdint>
-#include <finchbridge/aggregator.hpp>
 #include <functional>
 #include <map>
 #include <optional>
 #include <utility>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 class Deadlines {
  public:
@@ -58,4 +58,4 @@
   std::uint64_t last_ = 0;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -6,7 +6,7 @@
 
 #include "log.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 using boost::system::error_code;
@@ -134,4 +134,4 @@
   gap_ = std::min(kGapMost, gap_ * 2);
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -14,7 +14,7 @@
 #include "http.hpp"
 #include "loop.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 class Discovery {
  public:
@@ -57,4 +57,4 @@
   Micros gap_;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <cstdint>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 constexpr std::uint32_t kFrameMost = 256 * 1024;  // a length beyond this is no frame of ours
@@ -123,4 +123,4 @@
   return State::frame;
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/frame.hpp
+++ b/src/net/frame.hpp
@@ -1,13 +1,13 @@
 // Frames between a mixer and leaf servers. No I/O.
 #pragma once
 
+#include <cometdeal/aggregator.hpp>
 #include <cstdint>
-#include <finchbridge/aggregator.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 struct Frame {
   char letter = 0;
@@ -39,4 +39,4 @@
   std::size_t from_ = 0;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 #include <charconv>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 constexpr std::size_t kHeadMost = 16 * 1024;  // start line and headers; trailers too
@@ -257,4 +257,4 @@
   return "GET " + std::string(target) + " HTTP/1.1\r\nHost: " + std::string(host) + "\r\n\r\n";
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 struct HttpMessage {
   std::string method, target;                                // of a request
@@ -54,4 +54,4 @@
 std::string writeResponse(int status, std::string_view extraHeaders, std::string_view body, bool close);
 std::string writeGet(std::string_view target, std::string_view host);
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/leaves.cpp
+++ b/src/net/leaves.cpp
@@ -5,7 +5,7 @@
 
 #include "log.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 using boost::system::error_code;
@@ -328,4 +328,4 @@
   if (onEnded) onEnded(attempt, outcome, std::move(answer));
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/leaves.hpp
+++ b/src/net/leaves.hpp
@@ -17,7 +17,7 @@
 #include "loop.hpp"
 #include "slots.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 // One part of a call, as the mixer hands it over.
 struct Call {
@@ -106,4 +106,4 @@
   std::unordered_map<std::uint64_t, Place> places_;  // attempt -> where it is
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -5,7 +5,7 @@
 #include <cstdarg>
 #include <cstdio>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 // The disk is memory here and a log may be kept: a fault that repeats must not fill it.
 constexpr double kBurst = 200.0, kPerSecond = 20.0;
@@ -36,4 +36,4 @@
   std::fprintf(stderr, "%s\n", line);
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -11,7 +11,7 @@
 
 #include "deadlines.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 class Loop {
  public:
@@ -51,4 +51,4 @@
   bool wanted_ = false;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/mixer.cpp
+++ b/src/net/mixer.cpp
@@ -5,7 +5,7 @@
 
 #include "log.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 namespace {
 
 // The module answers some ticks ahead of a query's end; what it left open this long before it is answered
@@ -319,4 +319,4 @@
   logLine("defect: %s: %s", what, id.c_str());
 }
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/mixer.hpp
+++ b/src/net/mixer.hpp
@@ -3,8 +3,8 @@
 // one final answer for each; nothing here knows what protocol that is.
 #pragma once
 
+#include <cometdeal/aggregator.hpp>
 #include <cstdint>
-#include <finchbridge/aggregator.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,7 +20,7 @@
 #include "loop.hpp"
 #include "slots.hpp"
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 struct QueryPart {
   int shard = 0;
@@ -137,4 +137,4 @@
   bool listed_ = false;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/net/slots.hpp
+++ b/src/net/slots.hpp
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace finchbridge::net {
+namespace cometdeal::net {
 
 struct Handle {
   std::uint32_t index = UINT32_MAX;
@@ -68,4 +68,4 @@
   std::size_t size_ = 0;
 };
 
-}  // namespace finchbridge::net
+}  // namespace cometdeal::net
--- a/src/wirehost.cpp
+++ b/src/wirehost.cpp
@@ -9,7 +9,7 @@
 
 int main() {
   std::ios::sync_with_stdio(false);
-  finchbridge::wire::Host host;
+  cometdeal::wire::Host host;
   std::string line;
   try {
     while (std::getline(std::cin, line)) {
@@ -20,7 +20,7 @@
       std::cout.flush();
     }
   } catch (const std::exception& problem) {
-    std::cerr << "finchbridge_wirehost: " << problem.what() << '\n';
+    std::cerr << "cometdeal_wirehost: " << problem.what() << '\n';
     return 2;
   }
   return 0;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -6,8 +6,8 @@
 
 #include "harness.hpp"
 
-using namespace finchbridge;
-using namespace finchbridge::test;
+using namespace cometdeal;
+using namespace cometdeal::test;
 
 namespace {
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -2,8 +2,8 @@
 
 #include <gtest/gtest.h>
 
-using finchbridge::wire::Host;
-using finchbridge::wire::Malformed;
+using cometdeal::wire::Host;
+using cometdeal::wire::Malformed;
 
 namespace {
 
--- a/tests/example_test.cpp
+++ b/tests/example_test.cpp
@@ -1,15 +1,15 @@
 // The example of the README: how a front node embeds the library.
 #include <gtest/gtest.h>
 
-#include <finchbridge/aggregator.hpp>
+#include <cometdeal/aggregator.hpp>
 
 TEST(Example, AFrontNodeEmbedsTheLibrary) {
-  finchbridge::Settings settings;
+  cometdeal::Settings settings;
   settings.classes.push_back({.aim = 1'000'000, .deadline = 4'000'000});
   settings.tick = 5'000;
-  finchbridge::Aggregator aggregator(settings, /*seed=*/1);
+  cometdeal::Aggregator aggregator(settings, /*seed=*/1);
 
-  using namespace finchbridge;
+  using namespace cometdeal;
   const std::vector<Event> events = {ListArrived{ListKind::complete, {{.id = "server-a"}}},
                                      QueryArrived{.id = "q", .group = 1, .parts = 1, .timeLeft = 4'000'000},
                                      PartArrived{.id = "q.0", .group = 1, .shard = 0, .weight = 1.0}};
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -1,11 +1,11 @@
 // Feeds events to one Aggregator and keeps its actions, for tests without a bench.
 #pragma once
 
-#include <finchbridge/aggregator.hpp>
+#include <cometdeal/aggregator.hpp>
 #include <string>
 #include <vector>
 
-namespace finchbridge::test {
+namespace cometdeal::test {
 
 constexpr Micros ms = 1000;
 
@@ -108,4 +108,4 @@
   return out;
 }
 
-}  // namespace finchbridge::test
+}  // namespace cometdeal::test
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -15,8 +15,8 @@
 #error "a test without asserts can't fail"
 #endif
 
-using namespace finchbridge;
-using namespace finchbridge::net;
+using namespace cometdeal;
+using namespace cometdeal::net;
 
 namespace {
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -14,7 +14,7 @@
 };
 // Standard output of the program, or its standard error, when it is fed the lines.
 Ended feed(const std::string& lines, bool errors) {
-  const std::string command = "printf '%s' '" + lines + "' | " FINCHBRIDGE_PROGRAM +
+  const std::string command = "printf '%s' '" + lines + "' | " COMETDEAL_PROGRAM +
                               (errors ? std::string(" 2>&1 >/dev/null") : std::string(" 2>/dev/null"));
   Ended run;
   FILE* pipe = popen(command.c_str(), "r");
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -35,7 +35,7 @@
 #include "net/frame.hpp"
 #include "net/http.hpp"
 
-using namespace finchbridge::net;
+using namespace cometdeal::net;
 using Json = nlohmann::json;
 
 #ifdef NDEBUG
