--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -21,8 +21,8 @@
 constexpr Micros kLingerTime = 1'000'000;    // for the client to take the last answer and close
 constexpr Micros kIdleTime = 120'000'000;    // between requests
 constexpr Micros kAcceptPause = 20'000;
-constexpr std::size_t kBufferedMost = 128 * 1024;  // beyond it a client that pipelines is not read
-constexpr double kTimeoutMost = 3600.0;            // seconds
+constexpr std::size_t kBufferedMost = 128UL * 1024;  // beyond it a client that pipelines is not read
+constexpr double kTimeoutMost = 3600.0;              // seconds
 
 bool isWord(const std::string& text, std::size_t most) {
   return !text.empty() && text.size() <= most && std::ranges::all_of(text, [](unsigned char c) {
@@ -281,7 +281,7 @@
   }
 }
 
-void Clients::handle(Connection& c, HttpMessage request) {
+void Clients::handle(Connection& c, const HttpMessage& request) {
   counters_.add(Count::requests);
   c.keep = request.keepAlive;
   c.usedAt = loop_.now();
@@ -296,7 +296,7 @@
   if (read.status == 0) {
     const bool taken = mixer_.submit(
         std::move(read.query),
-        [this, h = c.self](FinalAnswer answer) {
+        [this, h = c.self](const FinalAnswer& answer) {
           Connection* to = connections_.get(h);
           if (!to) return;
           if (draining_) to->keep = false;
@@ -314,7 +314,7 @@
 }
 
 // The answer to the present request; then the next one, or the end of the connection.
-void Clients::respond(Connection& c, std::string response) {
+void Clients::respond(Connection& c, const std::string& response) {
   c.waiting = false;
   c.query = {};
   c.ending = !c.keep;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -58,8 +58,8 @@
   void accepted(tcp::socket socket);
   void received(Connection& c, std::size_t bytes);
   void process(Connection& c);
-  void handle(Connection& c, HttpMessage request);
-  void respond(Connection& c, std::string response);
+  void handle(Connection& c, const HttpMessage& request);
+  void respond(Connection& c, const std::string& response);
   void flush(Connection& c);
   void end(Connection& c);
   void close(Connection& c);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -7,7 +7,7 @@
 namespace cometdeal::net {
 namespace {
 
-constexpr std::size_t kHeadMost = 16 * 1024;  // start line and headers; trailers too
+constexpr std::size_t kHeadMost = 16UL * 1024;  // start line and headers; trailers too
 constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
 
 bool isToken(std::string_view text) {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -23,7 +23,7 @@
   enum class Kind { request, response };
   enum class State { more, done, bad };
 
-  explicit HttpParser(Kind kind, std::size_t bodyMost = 64 * 1024) : kind_(kind), bodyMost_(bodyMost) {}
+  explicit HttpParser(Kind kind, std::size_t bodyMost = 64UL * 1024) : kind_(kind), bodyMost_(bodyMost) {}
 
   // Takes from the front of `in` what belongs to the present message and no more. After `done` the message
   // can be taken, and the parser begins anew; after `bad` nothing more is read.
--- a/src/net/leaves.cpp
+++ b/src/net/leaves.cpp
@@ -14,7 +14,7 @@
 // is closed so much earlier.
 constexpr Micros kIdleMargin = 500'000;
 // What a leaf server does not read must not fill the memory: beyond this its connection counts as broken.
-constexpr std::size_t kOutgoingMost = 4 << 20;
+constexpr std::size_t kOutgoingMost = 4UL << 20;
 
 std::uint64_t number(Handle h) { return (std::uint64_t(h.generation) << 32) | h.index; }
 
@@ -83,9 +83,9 @@
 
 void Leaves::keepOnly(const std::vector<LeafEntry>& entries) {
   std::vector<LeafEntry> gone;
-  for (const auto& [name, s] : servers_)
-    if (std::ranges::none_of(entries, [&](const LeafEntry& e) { return e.name == name; }))
-      gone.push_back(s.entry);
+  for (const auto& held : servers_)
+    if (std::ranges::none_of(entries, [&](const LeafEntry& e) { return e.name == held.first; }))
+      gone.push_back(held.second.entry);
   for (LeafEntry& entry : gone) {
     entry.state = ServerState::gone;
     update(entry);
@@ -109,7 +109,7 @@
     for (const Call& call : bundle) places_[number(call.attempt)] = {server, c->self, call.id};
     c->streams += int(bundle.size());
     if (c->up)
-      write(*c, std::move(bundle));
+      write(*c, bundle);
     else
       c->pending.push_back(std::move(bundle));
   }
@@ -163,9 +163,9 @@
   touch(c);
   std::vector<std::vector<Call>> waiting;
   waiting.swap(c.pending);
-  for (auto& calls : waiting) {
+  for (const auto& calls : waiting) {
     if (!c.closed) {
-      write(c, std::move(calls));
+      write(c, calls);
       continue;
     }
     for (const Call& call : calls)
@@ -173,7 +173,7 @@
   }
 }
 
-void Leaves::write(Connection& c, std::vector<Call> calls) {
+void Leaves::write(Connection& c, const std::vector<Call>& calls) {
   std::string rest;
   const Micros now = loop_.now();
   for (const Call& call : calls) {
@@ -259,7 +259,8 @@
   c.out.erase(at);
   --c.streams;
   if (c.streams == 0) touch(c);
-  end(attempt, answer.outcome, std::move(answer));
+  const Outcome outcome = answer.outcome;
+  end(attempt, outcome, std::move(answer));
 }
 
 void Leaves::lost(Connection& c, const char* why, bool expected) {
--- a/src/net/leaves.hpp
+++ b/src/net/leaves.hpp
@@ -88,7 +88,7 @@
   Handle pick(Server& server, const std::vector<Call>& calls);
   std::shared_ptr<Connection> open(Server& server);
   void cameUp(Connection& c);
-  void write(Connection& c, std::vector<Call> calls);
+  void write(Connection& c, const std::vector<Call>& calls);
   void flush(Connection& c);
   void received(Connection& c, std::size_t bytes);
   void answered(Connection& c, LeafAnswer answer);
--- a/src/net/mixer.cpp
+++ b/src/net/mixer.cpp
@@ -63,7 +63,7 @@
     FinalAnswer full;
     full.kind = FinalAnswer::Kind::refused;
     if (host_.mayRetryAfter) full.retryAfter = settings_.maxRetryAfter.value_or(kFullPause);
-    answered(std::move(full));
+    answered(full);
     return true;
   }
   handle = queries_.add();
@@ -194,7 +194,7 @@
   for (std::size_t k = q->stepBegin; k < q->parts.size(); ++k)
     if (q->parts[k].done) answer.rows.push_back({q->parts[k].shard, q->parts[k].value});
   counters_.add(a.whole ? Count::answeredWhole : Count::answeredPartly);
-  finish(h, *q, std::move(answer));
+  finish(h, *q, answer);
 }
 
 void Mixer::act(const Refuse& a) {
@@ -205,7 +205,7 @@
   FinalAnswer answer;
   answer.kind = FinalAnswer::Kind::refused;
   if (host_.mayRetryAfter) answer.retryAfter = a.retryAfter;
-  finish(at->second, *q, std::move(answer));
+  finish(at->second, *q, answer);
 }
 
 void Mixer::act(const Fail& a) {
@@ -240,6 +240,7 @@
   const int followUp = settings_.classes[std::size_t(q.asked.cls)].followUp;
   in.resize(std::min(in.size(), std::size_t(followUp)));
   std::vector<int> shards;
+  shards.reserve(in.size());
   for (const Part* p : in) shards.push_back(p->shard);
   q.step = 2;
   q.firstWhole = whole;
@@ -279,7 +280,7 @@
 }
 
 // The one place where a query gets its final answer.
-void Mixer::finish(Handle h, Query& q, FinalAnswer answer) {
+void Mixer::finish(Handle h, Query& q, const FinalAnswer& answer) {
   if (q.ended) return;
   q.ended = true;
   --openQueries_;
@@ -287,7 +288,7 @@
   loop_.deadlines.drop(q.backstop);
   Answered answered;
   std::swap(answered, q.answered);
-  if (answered) answered(std::move(answer));
+  if (answered) answered(answer);
   settle(h, q);
 }
 
--- a/src/net/mixer.hpp
+++ b/src/net/mixer.hpp
@@ -50,7 +50,7 @@
 
 class Mixer {
  public:
-  using Answered = std::function<void(FinalAnswer)>;
+  using Answered = std::function<void(const FinalAnswer&)>;
 
   Mixer(Loop& loop, Counters& counters, Leaves& leaves, const Config& config);
 
@@ -111,7 +111,7 @@
   void push(Event event);
   void ended(Handle attempt, Outcome outcome, LeafAnswer answer);
   void beginSecondStep(Handle h, Query& q, bool whole);
-  void finish(Handle h, Query& q, FinalAnswer answer);
+  void finish(Handle h, Query& q, const FinalAnswer& answer);
   void settle(Handle h, Query& q);
   void giveUpLate(Handle h);
   void flushCalls();
