Bound what a client is owed, keep a connection alive while it is answered

Seen in review: respond() went on to use a connection that a failed write had just removed from its slot (flush, then the test for pipelined requests); a client that pipelines and does not read could make its answers grow without bound; a discovery call that is answered at once was given the patience of a watch, 22 s. Now the connection is held while it is answered, the next request waits beyond 64 KiB of unread answers, and such a call is made again after 2 s.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -22,6 +22,7 @@
 constexpr Micros kIdleTime = 120'000'000;    // between requests
 constexpr Micros kAcceptPause = 20'000;
 constexpr std::size_t kBufferedMost = 128UL * 1024;  // beyond it a client that pipelines is not read
+constexpr std::size_t kOutgoingMost = 64UL * 1024;   // beyond it a client's next request waits
 constexpr double kTimeoutMost = 3600.0;              // seconds
 
 bool isWord(const std::string& text, std::size_t most) {
@@ -267,6 +268,8 @@
 void Clients::process(Connection& c) {
   const std::shared_ptr<Connection> keep = connections_.share(c.self);
   while (!c.closed && !c.waiting && !c.ending && !c.buffered.empty()) {
+    if (c.outgoing.size() > kOutgoingMost)
+      return;  // a client that asks and does not read; flush goes on from here
     std::string_view in = c.buffered;
     const HttpParser::State state = c.parser.feed(in);
     c.buffered.erase(0, c.buffered.size() - in.size());
@@ -315,6 +318,7 @@
 
 // The answer to the present request; then the next one, or the end of the connection.
 void Clients::respond(Connection& c, const std::string& response) {
+  const std::shared_ptr<Connection> keep = connections_.share(c.self);  // a failed write ends the connection
   c.waiting = false;
   c.query = {};
   c.ending = !c.keep;
@@ -322,14 +326,18 @@
   c.outgoing += response;
   watch(c);
   flush(c);
+  resume(c);
+}
+
+// Goes on with what a client has sent ahead: later, not from within the turn that answered its forerunner.
+void Clients::resume(Connection& c) {
   if (c.closed || c.ending || c.buffered.empty()) return;
-  boost::asio::post(loop_.strand,
-                    [this, h = c.self] {  // a pipelined request, not from within its forerunner's turn
-                      Connection* next = connections_.get(h);
-                      if (!next) return;
-                      process(*next);
-                      if (!next->closed) read(*next);
-                    });
+  boost::asio::post(loop_.strand, [this, h = c.self] {
+    const std::shared_ptr<Connection> next = connections_.share(h);  // processing may end the connection
+    if (!next) return;
+    process(*next);
+    read(*next);
+  });
 }
 
 void Clients::flush(Connection& c) {
@@ -341,10 +349,11 @@
     if (ec == boost::asio::error::would_block || ec == boost::asio::error::try_again) {
       c.writing = true;
       c.socket.async_wait(tcp::socket::wait_write, [this, h = c.self](const error_code&) {
-        Connection* again = connections_.get(h);
+        const std::shared_ptr<Connection> again = connections_.share(h);
         if (!again) return;
         again->writing = false;
         flush(*again);
+        if (again->outgoing.empty()) resume(*again);
       });
       break;
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -61,6 +61,7 @@
   void handle(Connection& c, const HttpMessage& request);
   void respond(Connection& c, const std::string& response);
   void flush(Connection& c);
+  void resume(Connection& c);
   void end(Connection& c);
   void close(Connection& c);
   void watch(Connection& c);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -12,7 +12,7 @@
 using boost::system::error_code;
 
 constexpr int kWaitMs = 20'000;
-constexpr Micros kGrace = 2'000'000;  // beyond the wait, until a watch counts as failed
+constexpr Micros kGrace = 2'000'000;  // beyond the wait; all there is for what comes at once
 constexpr Micros kGapFirst = 50'000, kGapMost = 1'000'000;
 
 }  // namespace
@@ -33,7 +33,7 @@
       c->socket.set_option(tcp::no_delay(true), ec);
       for (;;) {
         c->request = d->nextRequest();
-        d->expect();
+        d->expect(kGrace + (d->index_ ? Micros(kWaitMs) * 1000 : 0));
         BOOST_ASIO_CORO_YIELD boost::asio::async_write(c->socket, boost::asio::buffer(c->request), *this);
         for (;;) {
           {
@@ -78,7 +78,7 @@
 
 void Discovery::connect() {
   connection_ = std::make_shared<Connection>(loop_.strand);
-  expect();
+  expect(kGrace);
   Driver(this, connection_)();
 }
 
@@ -88,9 +88,9 @@
   return writeGet(target, address_.host + ":" + std::to_string(address_.port));
 }
 
-void Discovery::expect() {
+void Discovery::expect(Micros patience) {
   loop_.deadlines.drop(deadline_);
-  deadline_ = loop_.deadlines.add(loop_.now() + Micros(kWaitMs) * 1000 + kGrace, [this] {
+  deadline_ = loop_.deadlines.add(loop_.now() + patience, [this] {
     deadline_.reset();
     if (connection_) failed(*connection_, "no answer");
   });
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -45,7 +45,7 @@
   std::string nextRequest() const;
   bool accept(const HttpMessage& response);
   void failed(Connection& c, const char* why);
-  void expect();
+  void expect(Micros patience);
 
   Loop& loop_;
   Counters& counters_;
