Reload on SIGHUP: move the watch to discovery's new address at once, keep all else

Cause: main.cpp set no handler for SIGHUP, and its default ends the program. Ruled out: a fault in the requests, as the log ends without any line at the signal. Now the file is read again and Discovery::moveTo switches at once, asking for the whole list; a bad file is logged and the old one kept.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -33,8 +33,10 @@
   return int(std::min<rlim_t>(limit.rlim_cur, rlim_t(told)));
 }
 
-int serve(const Config& config) {
-  Loop loop;
+// `reload` holds a SIGHUP from before the configuration was read: it must be neither lost nor end the
+// program.
+int serve(Loop& loop, boost::asio::signal_set& reload, const char* path) {
+  const Config config = readConfigFile(path);
   Counters counters;
   const int sockets = descriptors(config.sockets);
   const int forLeaves = std::min(kForLeaves, sockets / 3);
@@ -56,6 +58,24 @@
   logLine("%s: listening on %s:%u", config.name.c_str(), config.listen.host.c_str(),
           unsigned(config.listen.port));
 
+  // A reload takes the address of discovery; queries, connections and the module's state stay as they are.
+  std::function<void()> waitReload = [&] {
+    reload.async_wait([&](const boost::system::error_code& ec, int) {
+      if (ec) return;
+      try {
+        const Address next = readConfigFile(path).discovery;
+        discovery.moveTo(next);
+        counters.add(Count::reloads);
+        logLine("%s: reloaded, discovery at %s:%u", config.name.c_str(), next.host.c_str(),
+                unsigned(next.port));
+      } catch (const BadConfig& problem) {  // a bad file must not end what serves by the old one
+        counters.add(Count::reloadsFailed);
+        logLine("%s: not reloaded: %s", config.name.c_str(), problem.what());
+      }
+      waitReload();
+    });
+  };
+  waitReload();
   boost::asio::signal_set report(loop.strand, SIGUSR1), stop(loop.strand, SIGTERM, SIGINT);
   std::function<void()> waitReport = [&] {
     report.async_wait([&](const boost::system::error_code& ec, int) {
@@ -95,7 +115,9 @@
   try {
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw BadConfig("BALANCER_CONFIG is not set");
-    return serve(readConfigFile(path));
+    Loop loop;
+    boost::asio::signal_set reload(loop.strand, SIGHUP);
+    return serve(loop, reload, path);
   } catch (const std::exception& problem) {
     std::fprintf(stderr, "cometdeal: %s\n", problem.what());
     return 2;
--- a/src/net/counters.cpp
+++ b/src/net/counters.cpp
@@ -30,6 +30,8 @@
       "lists_malformed",
       "discovery_failures",
       "accept_failures",
+      "reloads",
+      "reloads_failed",
       "turns"};
   static constexpr std::array<const char*, static_cast<std::size_t>(Outcome::skipped) + 1> outcomes = {
       "done", "error", "busy", "timed_out", "connect_failed", "reset", "cancelled", "skipped"};
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -33,6 +33,8 @@
   listsMalformed,
   discoveryFailures,
   acceptFailures,
+  reloads,
+  reloadsFailed,
   turns,
   number,
 };
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -76,6 +76,17 @@
   connection_.reset();
 }
 
+// Another address is another agent, and its versions may be numbered in another way: a watch from the version
+// that the old one told could miss what changed since, so the whole list is asked for.
+void Discovery::moveTo(const Address& address) {
+  if (address == address_) return;
+  stop();
+  address_ = address;
+  index_.reset();
+  gap_ = kGapFirst;
+  connect();
+}
+
 void Discovery::connect() {
   connection_ = std::make_shared<Connection>(loop_.strand);
   expect(kGrace);
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -25,6 +25,7 @@
   std::function<void(LeafList)> onList;
   void start();
   void stop();
+  void moveTo(const Address& address);  // at once, whatever is under way at the old one
 
  private:
   struct Connection {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -7,6 +7,7 @@
 //   absent NAME CELL                 the same, but nothing listens there
 //   listen NAME                      a listener; D, discovery's, is always there
 //   start [PATH=JSON ...]            the program, with settings changed
+//   configure [PATH=JSON ...]        the configuration file again, with more settings changed
 //   connect C | accept C NAME        a client's connection | what has connected to the listener
 //   send C raw TEXT | http STATUS BODY | frame LETTER TEXT | query ID CLASS SECONDS SHARDS
 //   expect C status CODE PATTERN | frame LETTER PATTERN | request PATTERN | end
@@ -59,6 +60,7 @@
 std::map<std::string, Peer> peers;
 std::map<std::string, std::string> addresses;  // of listeners
 Json endpoints = Json::array();
+Json config;
 std::string mixerAddress, configFile;
 pid_t program = -1;
 int exitStatus = -1;
@@ -146,8 +148,18 @@
   }
 }
 
+void configure(std::istringstream& words) {
+  std::string change;
+  while (words >> change) {
+    const std::size_t equals = change.find('=');
+    std::string path = "/" + change.substr(0, equals);
+    std::replace(path.begin(), path.end(), '.', '/');
+    config[Json::json_pointer(path)] = Json::parse(unescape(change.substr(equals + 1)));
+  }
+  std::ofstream(configFile) << config.dump();
+}
 void start(std::istringstream& words) {
-  Json config = Json::parse(R"({"name":"n0","seed":"8c1f30d27a5be964","limits":{"sockets":1024},"settings":{
+  config = Json::parse(R"({"name":"n0","seed":"8c1f30d27a5be964","limits":{"sockets":1024},"settings":{
     "balancers":1,"discovery":"pushed","tick":5.0,"zones":["a","b"],"az":0,
     "categories":[{"name":"plain","aim":5000.0,"hardLimit":20000.0,"lateShare":0.5,"effect":"safe"},
       {"name":"keyed","aim":5000.0,"hardLimit":20000.0,"lateShare":0.5,"effect":"keyed","dedupWindow":5000.0},
@@ -158,20 +170,13 @@
       "retryAfter":true,"connIdle":15000.0,"connectTimeout":5000.0,"maxStreams":100},
     "safety":{"drainGrace":1000.0}}})");
   config["known"] = {{"index", 1}, {"snapshot", true}, {"endpoints", endpoints}};
-  std::string change;
-  while (words >> change) {
-    const std::size_t equals = change.find('=');
-    std::string path = "/" + change.substr(0, equals);
-    std::replace(path.begin(), path.end(), '.', '/');
-    config[Json::json_pointer(path)] = Json::parse(change.substr(equals + 1));
-  }
   openListener("M", false);
   mixerAddress = addresses["M"];
   close(peers["M"].fd);
   config["listen"] = mixerAddress;
   config["discovery"] = addresses["D"];
   configFile = "/tmp/scenario-" + std::to_string(getpid()) + ".json";
-  std::ofstream(configFile) << config.dump();
+  configure(words);
   int pipes[2];
   check(pipe2(pipes, O_CLOEXEC) == 0, "pipe");
   program = fork();
@@ -247,6 +252,7 @@
   std::string verb, name, what;
   if (!(words >> verb) || verb[0] == '#') return;
   if (verb == "start") return start(words);
+  if (verb == "configure") return configure(words);
   words >> name;
   if (verb == "wait") {
     usleep(useconds_t(std::stoi(name)) * 1000);
@@ -272,7 +278,7 @@
     peers[name] = Peer{};
     peers[name].fd = fd;
   } else if (verb == "signal") {
-    kill(program, name == "TERM" ? SIGTERM : SIGUSR1);
+    kill(program, name == "TERM" ? SIGTERM : name == "HUP" ? SIGHUP : SIGUSR1);
   } else if (verb == "close" || verb == "reset") {
     const linger now{1, 0};
     if (verb == "reset") setsockopt(peer(name).fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
