Leave leaf connections that fell silent, bound spoilt frames and rude clients

Cause: Leaves::pick took the first connection with room, dead or not, for as long as it stayed open. A connection that owes for longer than answers take (the rule of TCP's retransmission time-out) is now passed over for one newer one, and is dropped when that one answers; what was out on it has timed out. Also: an unreadable load report no longer costs a good answer (frame.cpp readAnswer); an answer to an id never asked for there, a frame that stalls, an unknown letter or an endless line end the connection (Leaves::answered, FrameReader); patience with clients is 2 s from the connect or the first byte (clients.cpp watch); weights, hints, tags and doubled headers are checked (readQuery); servers that are gone are forgotten (Leaves::servers_, the module's servers, taken).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -244,6 +244,17 @@
       for (int back = 0; back < std::min(set.reach, set.cells); ++back)
         shardHolders[at(s.cell - back)].push_back(&s);
     }
+    forgetGone();
+  }
+  // A server that is replaced never comes back under its id. What still points to it keeps it for now.
+  void forgetGone() {
+    std::set<const Server*> used;
+    for (const auto& [group, q] : queries)
+      for (const Part& p : q.parts)
+        for (const Attempt& a : p.attempts) used.insert(a.server);
+    std::erase_if(servers, [&](const auto& e) {
+      return e.second.state == ServerState::gone && !used.contains(&e.second);
+    });
   }
 
   // A restored list may be old: where discovery must be asked, ask at once, and again after every failure.
@@ -553,7 +564,7 @@
     if (!effectAllows(q, p)) return false;
     if (!p.attempts.empty()) {
       if (!budgetAllows()) return false;
-      further.push_back(now);
+      if (set.budget) further.push_back(now);
     }
     if (s->openTurn != turn || s->openCallParts >= std::max(1, set.bundleMax)) {
       s->openTurn = turn;
@@ -814,7 +825,7 @@
 
   // ---- Admission -----------------------------------------------------------------------------------------
   void onQuery(const QueryArrived& e) {
-    taken.push_back(now);
+    if (set.budget) taken.push_back(now);
     if (queries.contains(e.group)) return;
     if (e.cls < 0 || std::size_t(e.cls) >= set.classes.size()) {
       out.push_back(Refuse{e.id, std::nullopt});
@@ -835,7 +846,7 @@
     groupOf[e.id] = e.group;
   }
   void onPart(const PartArrived& e) {
-    taken.push_back(now);
+    if (set.budget) taken.push_back(now);
     const auto at = queries.find(e.group);
     if (at == queries.end()) return;
     Part p;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -17,14 +18,20 @@
 
 // A client counts its time from when it sent the request, and has its answer only when that has come back.
 constexpr Micros kWay = 3'000;
-constexpr Micros kRequestTime = 10'000'000;  // for the rest of a request, once it has begun
-constexpr Micros kLingerTime = 1'000'000;    // for the client to take the last answer and close
-constexpr Micros kIdleTime = 120'000'000;    // between requests
+constexpr Micros kRequestTime =
+    2'000'000;  // for a whole request, from its first byte; for the first, from connecting
+constexpr Micros kLingerTime = 500'000;     // for the client to take the last answer and close
+constexpr Micros kIdleTime = 60'000'000;    // between requests ...
+constexpr Micros kIdleCrowded = 2'500'000;  // ... where many are connected
+constexpr Micros kHalfTime = 300'000;       // at the bound, a request that has come no further makes room
 constexpr Micros kAcceptPause = 20'000;
 constexpr std::size_t kBufferedMost = 128UL * 1024;  // beyond it a client that pipelines is not read
 constexpr std::size_t kOutgoingMost = 64UL * 1024;   // beyond it a client's next request waits
 constexpr double kTimeoutMost = 3600.0;              // seconds
 
+constexpr double kWeightsOff = 0.01;  // sums of weights are rounded
+constexpr double kHintMost = 1e12;    // microseconds
+
 bool isWord(const std::string& text, std::size_t most) {
   return !text.empty() && text.size() <= most && std::ranges::all_of(text, [](unsigned char c) {
     return c > ' ' && c < 127 && c != ',' && c != '=';
@@ -37,6 +44,11 @@
   if (text.empty() || ec != std::errc() || at != end || !std::isfinite(value)) return std::nullopt;
   return value;
 }
+bool isTag(const Json& tag) {
+  if (!tag.is_string()) return false;
+  const auto& text = tag.get_ref<const std::string&>();
+  return text.size() == 16 && std::ranges::all_of(text, [](unsigned char c) { return std::isxdigit(c); });
+}
 ReadQuery bad(const char* why, int status = 400) {
   ReadQuery out;
   out.status = status;
@@ -51,6 +63,10 @@
   const std::size_t slash = path.rfind('/');
   if (path != "/api" && !path.starts_with("/api/")) return bad("unknown path", 404);
   if (request.method != "POST") return bad("a query is a POST", 405);
+  // Of two such headers another reader might heed the other one.
+  for (const char* name : {"x-request-id", "x-priority-class", "x-timeout", "idempotency-key"})
+    if (std::ranges::count(request.headers, name, [](const auto& h) { return h.first; }) > 1)
+      return bad("a header stands twice");
   ReadQuery out;
   NewQuery& q = out.query;
   const std::string* id = request.header("x-request-id");
@@ -81,6 +97,7 @@
   if (parts == body.end() || !parts->is_array() || parts->empty()) return bad("parts are missing");
   q.text = text->get<std::string>();
   std::set<int> seen;
+  double sum = 0;
   for (const Json& one : *parts) {
     if (!one.is_object()) return bad("a part is not an object");
     const auto shard = one.find("id"), weight = one.find("w");
@@ -90,8 +107,16 @@
     if (!(number >= 0 && number < host.shards)) return bad("no such shard");
     if (!(w > 0 && w <= 1.001)) return bad("a part's weight is no share");
     if (!seen.insert(int(number)).second) return bad("a part is named twice");
+    if (const auto hint = one.find("hint"); hint != one.end()) {
+      if (!hint->is_number() || !(hint->get<double>() >= 0 && hint->get<double>() <= kHintMost))
+        return bad("a part's hint is no time");
+    }
+    if (const auto tag = one.find("tag"); tag != one.end() && !isTag(*tag))
+      return bad("a part's tag is not 16 hex digits");
+    sum += w;
     q.parts.push_back({int(number), w});
   }
+  if (std::abs(sum - 1.0) > kWeightsOff) return bad("the weights do not add up to 1");
   return out;
 }
 
@@ -216,17 +241,32 @@
   return std::ranges::any_of(connections_.all(), [this](Handle h) { return !idle(*connections_.get(h)); });
 }
 
+// At the bound somebody makes room: first who has had its last answer, then who has connected and asked for
+// nothing, then a request that does not get on, and only then a client that has asked before: silent
+// connections and half requests must not push those out.
 bool Clients::shedIdle() {
-  Connection* oldest = nullptr;
+  std::vector<std::pair<std::pair<int, Micros>, Handle>> order;
   for (const Handle h : connections_.all()) {
-    Connection* c = connections_.get(h);
-    if (!idle(*c)) continue;
-    if (!oldest || c->usedAt < oldest->usedAt) oldest = c;
+    const Connection& c = *connections_.get(h);
+    if (c.waiting) continue;
+    const bool begun = !c.buffered.empty() || c.parser.begun();
+    if (c.ending)
+      order.push_back({{0, c.usedAt}, h});
+    else if (c.writing || (begun && loop_.now() - c.receivedAt < kHalfTime))
+      continue;
+    else
+      order.push_back({{begun ? 2 : c.asked ? 3 : 1, c.usedAt}, h});
   }
-  if (!oldest) return false;
-  counters_.add(Count::clientConnectionsShed);
-  close(*oldest);
-  return true;
+  std::ranges::sort(order, {}, [](const auto& e) { return e.first; });
+  for (const auto& [rank, h] : order) {
+    Connection& c = *connections_.get(h);
+    error_code ec;
+    if (rank.first != 0 && c.socket.available(ec) > 0) continue;  // something has come just now
+    counters_.add(Count::clientConnectionsShed);
+    close(c);
+    return true;
+  }
+  return false;
 }
 
 void Clients::accepted(tcp::socket socket) {
@@ -237,7 +277,8 @@
   const Handle h = connections_.add(std::move(socket));
   Connection& c = *connections_.get(h);
   c.self = h;
-  c.usedAt = loop_.now();
+  c.usedAt = c.receivedAt = loop_.now();
+  c.dueAt = loop_.now() + kRequestTime;
   watch(c);
   read(c);
 }
@@ -246,28 +287,42 @@
   if (!c.reading && !c.closed) Reader(this, connections_.share(c.self))();
 }
 
-// One deadline a connection: for the request's rest, for the close after the last answer, or between
-// requests.
+// One deadline a connection: for the first request or one that has begun, for the close after the last
+// answer, or between requests. The first is set once, at the connect or the first byte: a client that
+// trickles must not move it.
 void Clients::watch(Connection& c) {
   loop_.deadlines.drop(c.deadline);
   if (c.closed || c.waiting) return;
   const bool begun = c.parser.begun() || !c.buffered.empty();
-  const Micros patience = c.ending ? kLingerTime : begun ? kRequestTime : kIdleTime;
-  c.deadline = loop_.deadlines.add(loop_.now() + patience, [this, h = c.self] {
-    Connection* late = connections_.get(h);
-    if (!late) return;
-    late->deadline.reset();
-    if (late->ending || !late->parser.begun()) return close(*late);
-    counters_.add(Count::badRequests);
-    late->keep = false;
-    respond(*late, writeResponse(408, "", "", true));
+  const Micros at = c.ending            ? loop_.now() + kLingerTime
+                    : begun || !c.asked ? c.dueAt
+                                        : loop_.now() + (crowded() ? kIdleCrowded : kIdleTime);
+  c.deadline = loop_.deadlines.add(at, [this, h = c.self] {
+    if (Connection* due = connections_.get(h)) late(*due);
   });
 }
 
+void Clients::late(Connection& c) {
+  const std::shared_ptr<Connection> keep = connections_.share(c.self);
+  c.deadline.reset();
+  if (c.ending || c.writing) return close(c);  // it has not read its last answer, or not the one before
+  // What came with the deadline is read first: a request that is whole is never closed upon.
+  error_code ec;
+  if (c.socket.available(ec) > 0 && !c.parser.begun() && c.buffered.empty()) {
+    c.dueAt = loop_.now() + kRequestTime;
+    return watch(c);
+  }
+  if (!c.parser.begun() && c.buffered.empty()) return close(c);
+  counters_.add(Count::badRequests);
+  c.keep = false;
+  respond(c, writeResponse(408, "", "", true));
+}
+
 void Clients::received(Connection& c, std::size_t bytes) {
   if (c.ending) return;  // what still comes after the last answer is read and dropped, so that it is no reset
   const bool first = !c.parser.begun() && c.buffered.empty();
   if (first) c.receivedAt = loop_.now();
+  if (first && c.asked) c.dueAt = loop_.now() + kRequestTime;
   c.buffered.append(c.incoming.data(), bytes);
   process(c);
   if (!c.closed && !c.waiting && first) watch(c);
@@ -295,6 +350,7 @@
 void Clients::handle(Connection& c, const HttpMessage& request) {
   counters_.add(Count::requests);
   c.keep = request.keepAlive;
+  c.asked = true;
   c.usedAt = loop_.now();
   if (request.target == "/up") {
     const bool up = mixer_.ready() && !draining_;
@@ -332,6 +388,7 @@
   c.query = {};
   c.ending = !c.keep;
   c.usedAt = c.receivedAt = loop_.now();
+  c.dueAt = loop_.now() + kRequestTime;  // of what it has sent ahead
   c.outgoing += response;
   watch(c);
   flush(c);
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -48,7 +48,9 @@
     bool keep = true;      // of the request that is being answered
     bool ending = false;   // the last answer is on its way
     bool reading = false, writing = false, closed = false;
+    bool asked = false;  // has sent a whole request before
     Micros receivedAt = 0, usedAt = 0;
+    Micros dueAt = 0;  // by when the request that has begun, or the first one, must be whole
     std::string buffered, outgoing;
     std::array<char, 8192> incoming;
     std::optional<Deadlines::Key> deadline;
@@ -68,7 +70,9 @@
   void watch(Connection& c);
   void read(Connection& c);
   bool idle(const Connection& c) const;
+  void late(Connection& c);
   bool shedIdle();
+  bool crowded() const { return int(connections_.size()) > connectionsMost_ / 2; }
 
   Loop& loop_;
   Counters& counters_;
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdint>
 
 namespace cometdeal::net {
 namespace {
 
-constexpr std::uint32_t kFrameMost = 256 * 1024;  // a length beyond this is no frame of ours
+// Messages to clients hold 64 KiB at the most, so no value is longer. A length beyond this is no frame of
+// ours.
+constexpr std::uint32_t kFrameMost = 65 * 1024;
+constexpr std::size_t kLineMost = 1024;  // of an answer's first line, which may else never end
 
 template <typename T>
 bool number(std::string_view text, T& out) {
@@ -15,6 +19,23 @@
   return !text.empty() && ec == std::errc() && end == text.data() + text.size();
 }
 
+// A report that can't be read tells nothing, and takes nothing from the answer that it came with.
+std::optional<LoadReport> readReport(std::string_view report) {
+  LoadReport load;
+  while (!report.empty()) {
+    const std::string_view item = report.substr(0, report.find(','));
+    report.remove_prefix(std::min(item.size() + 1, report.size()));
+    const std::size_t equals = item.find('=');
+    double value = 0;
+    if (equals == std::string_view::npos || !number(item.substr(equals + 1), value) ||
+        !std::isfinite(value) || value < 0)
+      return std::nullopt;
+    if (item.substr(0, equals) == "inflight") load.held = value;
+    if (item.substr(0, equals) == "queue") load.waiting = value;
+  }
+  return load;
+}
+
 // A value stands in a JSON answer unchanged or not at all.
 bool isUtf8(std::string_view text) {
   for (std::size_t k = 0; k < text.size();) {
@@ -69,7 +90,7 @@
     const std::size_t space = line.find(' ');
     if (k < 3 && space == std::string_view::npos) return std::nullopt;
     words[k] = line.substr(0, k < 3 ? space : line.size());
-    if (words[k].empty()) return std::nullopt;
+    if (words[k].empty() && k < 3) return std::nullopt;
     line.remove_prefix(k < 3 ? space + 1 : line.size());
   }
   LeafAnswer out;
@@ -83,22 +104,10 @@
   else
     return std::nullopt;
   if (!number(words[2], out.score) && words[2] != "-") return std::nullopt;
-  if (words[3] != "-") {
-    LoadReport load;
-    std::string_view report = words[3];
-    while (!report.empty()) {
-      const std::string_view item = report.substr(0, report.find(','));
-      report.remove_prefix(std::min(item.size() + 1, report.size()));
-      const std::size_t equals = item.find('=');
-      double value = 0;
-      if (equals == std::string_view::npos || !number(item.substr(equals + 1), value)) return std::nullopt;
-      if (item.substr(0, equals) == "inflight") load.held = value;
-      if (item.substr(0, equals) == "queue") load.waiting = value;
-    }
-    out.load = load;
-  }
+  if (words[3] != "-" && !words[3].empty()) out.load = readReport(words[3]);
   out.value = rest.substr(end + 1);
-  if (!isUtf8(out.value)) return std::nullopt;
+  // A frame that claims to be longer than it is takes in the next one's head, whose length holds a zero byte.
+  if (out.value.find('\0') != std::string::npos || !isUtf8(out.value)) return std::nullopt;
   return out;
 }
 
@@ -112,6 +121,12 @@
   for (int k = 0; k < 4; ++k)
     length |= std::uint32_t(static_cast<unsigned char>(buffer_[from_ + std::size_t(k)])) << (8 * k);
   if (length == 0 || length > kFrameMost) return State::bad;
+  // What can be seen to be no frame is not waited for: it would take in the answers behind it.
+  const std::string_view begun = std::string_view(buffer_).substr(from_ + 4, std::size_t(length));
+  if (!begun.empty() && letters_.find(begun[0]) == std::string_view::npos) return State::bad;
+  if (begun.size() > kLineMost && begun[0] == 'O' &&
+      begun.substr(0, kLineMost).find('\n') == std::string_view::npos)
+    return State::bad;
   if (buffer_.size() - from_ < 4 + std::size_t(length)) {
     buffer_.erase(0, from_);
     from_ = 0;
--- a/src/net/frame.hpp
+++ b/src/net/frame.hpp
@@ -31,10 +31,14 @@
 class FrameReader {
  public:
   enum class State { more, frame, bad };
+  // `letters`: of the frames that may come from the other side.
+  explicit FrameReader(std::string_view letters = "OZIU") : letters_(letters) {}
   void append(std::string_view bytes) { buffer_.append(bytes); }
   State next(Frame& out);
+  bool partial() const { return buffer_.size() > from_; }  // after `more`: a frame has begun to come
 
  private:
+  std::string_view letters_;
   std::string buffer_;
   std::size_t from_ = 0;
 };
--- a/src/net/leaves.cpp
+++ b/src/net/leaves.cpp
@@ -15,6 +15,19 @@
 constexpr Micros kIdleMargin = 500'000;
 // What a leaf server does not read must not fill the memory: beyond this its connection counts as broken.
 constexpr std::size_t kOutgoingMost = 4UL << 20;
+// For the rest of a frame that has begun to come. One whose length does not fit would take in what follows,
+// for ever.
+constexpr Micros kFrameTime = 200'000;
+// Ids that a connection still knows after their end: an answer to one of them is late or a second copy, no
+// fault.
+constexpr std::size_t kPastMost = 512;
+
+// A connection that owes for longer than an answer takes, by the rule of TCP's retransmission time-out, is
+// silent.
+constexpr Micros kSilentLeast = 100'000, kSilentMost = 3'000'000;
+constexpr double kSilentDeviations = 4.0, kMeanGain = 0.125, kDeviationGain = 0.25;
+// So many answers on a newer connection tell that the server is well and the silent one is dead.
+constexpr int kProofs = 2;
 
 std::uint64_t number(Handle h) { return (std::uint64_t(h.generation) << 32) | h.index; }
 
@@ -79,6 +92,7 @@
     else if (c->streams == 0 && (moved || entry.state == ServerState::gone))
       lost(*c, "its server has moved or gone", true);
   }
+  drop(entry.name);
 }
 
 void Leaves::keepOnly(const std::vector<LeafEntry>& entries) {
@@ -118,22 +132,79 @@
 // The first connection with room. One that may yet bring the answer of an earlier attempt of a part is not
 // taken for a newer one: both would have the same id.
 Handle Leaves::pick(Server& server, const std::vector<Call>& calls) {
+  std::optional<Handle> quiet;
+  int silents = 0;
   for (const Handle h : server.connections) {
     const Connection* c = connections_.get(h);
     if (!c || c->closed || c->address != server.entry.address) continue;
     if (c->streams + int(calls.size()) > host_.streams) continue;
+    if (c->reader.partial() && c->streams == 0) continue;  // noise: nothing was to come
+    if (silent(*c)) {
+      if (!quiet) quiet = h;
+      ++silents;
+      continue;
+    }
     if (std::ranges::any_of(calls, [&](const Call& call) { return c->out.contains(call.id); })) continue;
     return h;
   }
+  // A connection may have died unseen while its server is well. One more tells; if that is silent too, it is
+  // the server, and its further connections would be.
+  if (silents > 1) return *quiet;
   const auto c = open(server);
-  return c ? c->self : Handle{};
+  return c ? c->self : quiet.value_or(Handle{});
+}
+
+bool Leaves::silent(const Connection& c) const {
+  if (c.owesSince == 0) return false;
+  const double usual = meanTime_ + kSilentDeviations * deviation_;
+  return loop_.now() - c.owesSince > std::clamp(Micros(usual), kSilentLeast, kSilentMost);
+}
+
+void Leaves::learnTime(Connection& c, Micros sentAt) {
+  const double time = double(loop_.now() - sentAt);
+  if (meanTime_ <= 0)
+    meanTime_ = time, deviation_ = time / 2;
+  else {
+    deviation_ += kDeviationGain * (std::abs(time - meanTime_) - deviation_);
+    meanTime_ += kMeanGain * (time - meanTime_);
+  }
+  dropSilent(c);
+}
+
+// What was sent on a connection that is silent while a newer one to the same server answers is not waited
+// for.
+void Leaves::dropSilent(Connection& proof) {
+  const auto at = servers_.find(proof.server);
+  if (at == servers_.end() || at->second.connections.size() < 2) return;
+  const std::vector<Handle> held = at->second.connections;
+  bool any = false;
+  for (const Handle h : held) {
+    Connection* c = connections_.get(h);
+    if (!c || c == &proof || c->order > proof.order || !silent(*c)) continue;
+    any = true;
+    if (proof.proofs + 1 < kProofs) continue;
+    counters_.add(Count::leafConnectionsSilent);
+    lost(*c, "silent, while a newer one answers", false, Outcome::timedOut);
+  }
+  proof.proofs = any ? proof.proofs + 1 : 0;
+}
+
+// At the bound an idle connection gives way, or the descriptors that it holds would fail a part.
+bool Leaves::makeRoom() {
+  for (const Handle h : connections_.all())
+    if (Connection* c = connections_.get(h); c->up && c->streams == 0) {
+      lost(*c, "makes room for another", true);
+      return true;
+    }
+  return false;
 }
 
 std::shared_ptr<Leaves::Connection> Leaves::open(Server& server) {
-  if (int(connections_.size()) >= connectionsMost_) return nullptr;
+  if (int(connections_.size()) >= connectionsMost_ && !makeRoom()) return nullptr;
   const Handle h = connections_.add(loop_.strand);
   std::shared_ptr<Connection> c = connections_.share(h);
   c->self = h;
+  c->order = ++opened_;
   c->server = server.entry.name;
   c->address = server.entry.address;
   error_code ec;
@@ -183,7 +254,8 @@
   const std::string frame = writeFrame('D', rest);
   c.outgoing += frame;
   c.queued += frame.size();
-  for (const Call& call : calls) c.out[call.id] = Out{call.attempt, false, c.queued};
+  for (const Call& call : calls) c.out[call.id] = Out{call.attempt, false, c.queued, now};
+  if (c.owesSince == 0) c.owesSince = now;
   flush(c);
 }
 
@@ -229,17 +301,15 @@
 
 void Leaves::received(Connection& c, std::size_t bytes) {
   touch(c);
+  c.owesSince = c.streams > 0 ? loop_.now() : 0;
   c.reader.append({c.incoming.data(), bytes});
   Frame frame;
   while (!c.closed) {
     const FrameReader::State state = c.reader.next(frame);
-    if (state == FrameReader::State::more) return;
+    if (state == FrameReader::State::more) return watchFrame(c);
     std::optional<LeafAnswer> answer;
     if (state == FrameReader::State::frame) answer = readAnswer(frame);
-    if (answer) {
-      answered(c, std::move(*answer));
-      continue;
-    }
+    if (answer && answered(c, *answer)) continue;
     if (state == FrameReader::State::frame && (frame.letter == 'I' || frame.letter == 'U')) continue;
     counters_.add(Count::badFrames);
     logLine("bad frame from %s: %c %.60s", c.server.c_str(), frame.letter ? frame.letter : '?',
@@ -248,26 +318,59 @@
   }
 }
 
-void Leaves::answered(Connection& c, LeafAnswer answer) {
+// An id that was never asked for here stands in an answer whose own id was spoilt: whose it was can't be
+// told, and that attempt would wait for its time-out. The answer of an attempt that was given up and the
+// second copy of one just given are something else.
+bool Leaves::answered(Connection& c, LeafAnswer& answer) {
   const auto at = c.out.find(answer.id);
   if (at == c.out.end() || at->second.dead) {
+    if (at == c.out.end() && std::ranges::find(c.past, std::hash<std::string>()(answer.id)) == c.past.end())
+      return false;
     counters_.add(Count::lateAnswers);
     if (at != c.out.end()) c.out.erase(at);
-    return;
+    remember(c, answer.id);
+    return true;
   }
   const Handle attempt = at->second.attempt;
+  const Micros sentAt = at->second.sentAt;
   c.out.erase(at);
-  --c.streams;
-  if (c.streams == 0) touch(c);
+  remember(c, answer.id);
+  if (--c.streams == 0) {
+    c.owesSince = 0;
+    touch(c);
+  }
+  learnTime(c, sentAt);
   const Outcome outcome = answer.outcome;
   end(attempt, outcome, std::move(answer));
+  return true;
+}
+
+void Leaves::remember(Connection& c, const std::string& id) {
+  const std::size_t hash = std::hash<std::string>()(id);
+  if (std::ranges::find(c.past, hash) != c.past.end()) return;
+  c.past.push_back(hash);
+  if (c.past.size() > kPastMost) c.past.pop_front();
+}
+
+// From the frame's first bytes on; more bytes of the same frame do not move it.
+void Leaves::watchFrame(Connection& c) {
+  if (!c.reader.partial()) return loop_.deadlines.drop(c.stall);
+  if (c.stall) return;
+  c.stall = loop_.deadlines.add(loop_.now() + kFrameTime, [this, h = c.self] {
+    Connection* stalled = connections_.get(h);
+    if (!stalled) return;
+    stalled->stall.reset();
+    counters_.add(Count::badFrames);
+    lost(*stalled, "a frame does not end", false);
+  });
 }
 
-void Leaves::lost(Connection& c, const char* why, bool expected) {
+void Leaves::lost(Connection& c, const char* why, bool expected, Outcome written) {
   if (c.closed) return;
   c.closed = true;
   const std::shared_ptr<Connection> keep = connections_.share(c.self);
   loop_.deadlines.drop(c.deadline);
+  loop_.deadlines.drop(c.stall);
   error_code ignored;
   c.socket.close(ignored);
   if (!expected) {
@@ -277,9 +380,18 @@
   for (const auto& calls : c.pending)
     for (const Call& call : calls) end(call.attempt, Outcome::connectFailed);
   for (const auto& [id, out] : c.out)
-    if (!out.dead) end(out.attempt, out.writtenAt <= c.written ? Outcome::reset : Outcome::connectFailed);
-  std::erase(servers_[c.server].connections, c.self);
+    if (!out.dead) end(out.attempt, out.writtenAt <= c.written ? written : Outcome::connectFailed);
+  if (const auto at = servers_.find(c.server); at != servers_.end())
+    std::erase(at->second.connections, c.self);
   connections_.remove(c.self);
+  drop(c.server);
+}
+
+// Servers that are replaced go under new ids: what is gone and has no connection left is forgotten.
+void Leaves::drop(const std::string& server) {
+  const auto at = servers_.find(server);
+  if (at != servers_.end() && at->second.entry.state == ServerState::gone && at->second.connections.empty())
+    servers_.erase(at);
 }
 
 void Leaves::giveUp(Handle attempt) {
@@ -304,11 +416,23 @@
   std::erase_if(c->pending, [](const auto& calls) { return calls.empty(); });
 }
 
+// After a final answer nothing of its query goes out.
+bool Leaves::withdraw(Handle attempt) {
+  const auto at = places_.find(number(attempt));
+  if (at == places_.end()) return true;
+  const Connection* c = connections_.get(at->second.connection);
+  if (c && c->out.contains(at->second.id)) return false;
+  giveUp(attempt);
+  return true;
+}
+
 void Leaves::forget(const std::string& id) {
   for (const Handle h : connections_.all()) {
     Connection* c = connections_.get(h);
     const auto at = c->out.find(id);
-    if (at != c->out.end() && at->second.dead) c->out.erase(at);
+    if (at == c->out.end() || !at->second.dead) continue;
+    remember(*c, id);
+    c->out.erase(at);
   }
 }
 
--- a/src/net/mixer.cpp
+++ b/src/net/mixer.cpp
@@ -14,6 +14,8 @@
 // Told to clients that are refused for lack of room, in the absence of a figure from the module.
 constexpr Micros kFullPause = 500'000;
 
+std::string partId(const std::string& query, int shard) { return query + "." + std::to_string(shard); }
+
 }  // namespace
 
 Mixer::Mixer(Loop& loop, Counters& counters, Leaves& leaves, const Config& config)
@@ -56,7 +58,11 @@
 }
 
 bool Mixer::submit(NewQuery asked, Answered answered, Handle& handle) {
-  if (byId_.contains(asked.id)) return false;
+  // The module knows queries and parts by one table of ids, and a client might choose the id of another's
+  // part.
+  if (byId_.contains(asked.id) || parts_.contains(asked.id)) return false;
+  for (const QueryPart& p : asked.parts)
+    if (byId_.contains(partId(asked.id, p.shard))) return false;
   counters_.add(Count::queriesTaken);
   if (settings_.maxOpen && held_ >= *settings_.maxOpen) {
     counters_.add(Count::queriesFull);
@@ -88,7 +94,7 @@
   push(std::move(event));
   for (const QueryPart& p : q.asked.parts) {
     Part part;
-    part.id = q.asked.id + "." + std::to_string(p.shard);
+    part.id = partId(q.asked.id, p.shard);
     part.shard = p.shard;
     part.weight = p.weight;
     parts_[part.id] = {handle, q.parts.size()};
@@ -289,7 +295,15 @@
   Answered answered;
   std::swap(answered, q.answered);
   if (answered) answered(answer);
-  settle(h, q);
+  // What still waits for a connection must not go out after the final answer, whether the module cancels it
+  // or not.
+  for (const Handle one : attempts_.all()) {
+    const Attempt* attempt = attempts_.get(one);
+    if (!attempt || attempt->query != h || !leaves_.withdraw(one)) continue;
+    counters_.add(Count::withdrawn);
+    ended(one, Outcome::cancelled, {});
+  }
+  if (Query* still = queries_.get(h)) settle(h, *still);
 }
 
 // A query's slot stays until its last attempt has ended.
