--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <new>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "net/clients.hpp"
 #include "net/deadlines.hpp"
@@ -174,7 +175,8 @@
   m.target = "/api/user7";
   m.headers = {
       {"x-request-id", "r"}, {"x-priority-class", "plain"}, {"x-timeout", "0.480"}, {"x-retried", "1"}};
-  m.body = R"({"parts":[{"id":3,"w":0.5,"hint":9000,"tag":"00c41e77d05be2a0"},{"id":7,"w":0.5}],"expr":"c4"})";
+  m.body =
+      R"({"parts":[{"id":3,"w":0.5,"hint":9000,"tag":"00c41e77d05be2a0"},{"id":7,"w":0.5}],"expr":"c4"})";
   const ReadQuery read = readQuery(m, host, 1'000'000);
   assert(read.status == 0 && read.query.key == "user7" && read.query.repeated && read.query.text == "c4");
   assert(read.query.parts.size() == 2 && read.query.parts[1].shard == 7 && read.query.parts[1].weight == 0.5);
@@ -405,6 +407,42 @@
   assert(rig.leaves.connections() == 2);
 }
 
+// A connection that fell silent while its server is well is left for a newer one, and dropped when that one
+// answers: its parts have timed out.
+void silentConnections() {
+  LeafRig rig;
+  const Handle first = rig.send("q.0");
+  auto a = rig.accept();
+  rig.until([&] { return a.available() > 0; });
+  a.write_some(boost::asio::buffer(writeFrame('O', "q.0 200 1 -\n")));
+  rig.until([&] { return rig.ends.size() == 1; });
+  const Handle stuck = rig.send("q.1");
+  assert(rig.leaves.connections() == 1);
+  std::this_thread::sleep_for(std::chrono::seconds(4));  // longer than any answer is waited for here
+  rig.send("q.2"), rig.send("q.3");
+  assert(rig.leaves.connections() == 2);
+  auto b = rig.accept();
+  rig.until([&] { return b.available() > 0; });
+  b.write_some(boost::asio::buffer(writeFrame('O', "q.2 200 1 -\n") + writeFrame('O', "q.3 200 1 -\n")));
+  rig.until([&] { return rig.ends.size() == 4; });
+  assert(rig.ends[0].first == first && rig.ends[1].second == Outcome::done);
+  assert(std::ranges::count(rig.ends, std::make_pair(stuck, Outcome::timedOut)) == 1);
+  assert(rig.leaves.connections() == 1 && rig.counters.of(Count::leafConnectionsSilent) == 1);
+}
+
+// After its query's final answer a send that still waits for its connection does not go out; one that has
+// gone out is not taken back.
+void withdrawnSends() {
+  LeafRig rig;
+  const Handle waiting = rig.send("q.0"), kept = rig.send("q.1");
+  assert(rig.leaves.withdraw(waiting));
+  auto a = rig.accept();
+  FrameReader reader("DK");
+  rig.until([&] { return a.available() > 0; });
+  assert(LeafRig::read(a, reader).rest.starts_with("q.1 "));
+  assert(!rig.leaves.withdraw(kept) && rig.ends.empty());
+}
+
 // At the bound on connections an idle one gives way.
 void roomForAnother() {
   LeafRig rig(/*connIdle=*/0, /*most=*/1);
@@ -466,6 +504,8 @@
   connections();
   answersToNothing();
   endlessFrames();
+  silentConnections();
+  withdrawnSends();
   roomForAnother();
   memory();
   std::puts("all passed");
