Doubt no server for its first reset where servers outlive their resets

Ruled out: dead servers (each served its next trial) and queries that kill (3 given up in all). Cause: brain.cpp learn() doubts a server at each reset of a busy connection, so the rest of the fleet is overrun, and what is trusted again gets everything at once. Test: Suspects.WhereServersOutliveTheirConnections..., seen to fail without; the inherited one on busy resets holds.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -33,6 +33,7 @@
 constexpr double kPrior = 1.0;        // latencies that the peers' median counts for
 // Failures of connections that had been unused, and resets, are common at so many servers within the span.
 constexpr int kIdleWitnesses = 2, kDeathServers = 2;
+constexpr Micros kOutliveSpan = 2 * kSecond;  // a server that serves so soon after a reset has outlived it
 constexpr Micros kIdleSpan = 10 * kSecond, kDeathSpan = 10 * kSecond, kIdleDistrust = 30 * kSecond;
 constexpr Micros kIdleLeast = 800 * kMs, kSlowConnect = 100 * kMs;   // unused for less: as good as busy
 constexpr Micros kTrialFirst = 500 * kMs, kTrialMost = 4 * kSecond;  // between trials of a server in doubt
@@ -81,7 +82,8 @@
   Micros doubtedAt = 0, nextTrial = 0, trialGap = kTrialFirst;
   Micros coldSince = -kNever;
   Micros connUsed = -kNever;  // when its connection last was new, in steady use or heard from
-  Micros idleFailedAt = -kNever, idleFailed = 0;  // when one unused for that long last failed
+  Micros idleFailedAt = -kNever, idleFailed = 0;    // when one unused for that long last failed
+  Micros brokenAt = -kNever, outlivedAt = -kNever;  // its latest reset; when it last served soon after one
   Micros lastReset = -kNever, refusedAt = -kNever, lastAnswered = -kNever;
   std::deque<Micros> sends;
   double doneRate = 0.0;
@@ -378,6 +380,14 @@
     q.condemned = a.lone && !q.proven;
     if (a.idle <= idleLimit()) a.server->lastReset = now;
   }
+  // A connection may break while its server is well. Where several servers lately served soon after a reset,
+  // the first reset of a server doubts it no longer; the next does, unless it has answered in between. Holds
+  // against whatever breaks connections; a server that is dead shows at the next connect.
+  bool outlives(Server& s) {
+    const bool again = s.brokenAt > s.lastAnswered && s.brokenAt < now;
+    s.brokenAt = now;
+    return !again && shown(&Server::outlivedAt, kDeathSpan) >= kDeathServers;
+  }
   bool manyRefuse() const { return shown(&Server::refusedAt, kRefuseSpan) > kRefuseShare * servers.size(); }
   bool seasonOfDeaths() const { return shown(&Server::lastReset, kDeathSpan) >= kDeathServers; }
   // What is common to the servers of a zone shows in the sum. The path is in doubt when most of what went
@@ -694,7 +704,11 @@
     const double latency = double(now - a.sentAt) / sizeOf(q.cls);
     if (e.outcome == Outcome::done || e.outcome == Outcome::error || e.outcome == Outcome::busy)
       s.lastHeard = s.connUsed = now;
-    if (e.outcome == Outcome::done || e.outcome == Outcome::error) s.lastAnswered = now;
+    if (e.outcome == Outcome::done || e.outcome == Outcome::error) {
+      if (a.sentAt >= s.brokenAt && s.lastAnswered <= s.brokenAt && now - s.brokenAt < kOutliveSpan)
+        s.outlivedAt = now;
+      s.lastAnswered = now;
+    }
     switch (e.outcome) {
       case Outcome::done:
         q.proven = true;
@@ -733,6 +747,7 @@
           if (q.resets == 1) failedOnIdle(s, a.idle);  // a query that kills its servers is one witness
           break;
         }
+        if (e.outcome == Outcome::reset && outlives(s)) break;
         doubt(s, "does not connect or resets");
         break;
     }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -575,6 +575,44 @@
   }
 }
 
+TEST(Suspects, WhereServersOutliveTheirConnectionsTheFirstResetDoubtsNobody) {
+  // Guards against most servers in doubt at once where connections break under requests while the servers are
+  // well.
+  Rig rig(plainSettings());
+  rig.servers(fleet(4));
+  rig.warm(40, 50 * ms);
+  std::set<std::string> broken;
+  const auto breakOne = [&] {  // at a server that none was broken at before, while its connection is busy
+    for (int k = 0;; ++k) {
+      const std::string key = "key" + std::to_string(k);
+      rig.query(1, 0, 4000 * ms, key);
+      const std::string server = rig.sends.back().server;
+      rig.finish(rig.sends.size() - 1);
+      if (broken.contains(server)) continue;
+      rig.query(1, 0, 4000 * ms, key);
+      EXPECT_EQ(rig.sends.back().server, server);
+      rig.finish(rig.sends.size() - 1, Outcome::reset);
+      rig.finish(rig.sends.size() - 1);  // sent again elsewhere, and served
+      broken.insert(server);
+      return server;
+    }
+  };
+  for (int k = 0; k < 2; ++k) {  // two servers serve their trial soon after
+    const std::string server = breakOne();
+    EXPECT_EQ(serveOthers(rig, server, 20), 0u);
+    rig.pass(600 * ms);
+    std::string asked;
+    for (int j = 0; j < 50 && asked != server; ++j) {
+      rig.query(1, 0, 4000 * ms, "t" + std::to_string(rig.queries));
+      asked = rig.sends.back().server;
+      rig.finish(rig.sends.size() - 1);
+    }
+    EXPECT_EQ(asked, server);
+  }
+  const std::string server = breakOne();
+  EXPECT_GT(serveOthers(rig, server, 20), 0u);
+}
+
 TEST(Suspects, WhatIsSilentOnAnIdleConnectionIsSentAgainAndSeveralCloseIdleOnesBeforeUse) {
   Rig rig(plainSettings());
   rig.servers(fleet(4));
