Call a connection silent after 0.25 s and reset what is closed while it owes

Guess: what a silent connection holds is read when the connection closes. Ruled out by a probe: bytes that the other system had not taken (SIOCOUTQ was never above 0 at 0.1 s).

--- a/src/net/leaves.cpp
+++ b/src/net/leaves.cpp
@@ -24,8 +24,10 @@
 
 // A connection that owes for longer than an answer takes, by the rule of TCP's retransmission time-out, is
 // silent.
-constexpr Micros kSilentLeast = 100'000, kSilentMost = 3'000'000;
+constexpr Micros kSilentLeast = 250'000, kSilentMost = 3'000'000;
 constexpr double kSilentDeviations = 4.0, kMeanGain = 0.125, kDeviationGain = 0.25;
+// What was given up is not answered, so a few such say nothing of a connection that nothing is waited for on.
+constexpr int kUnansweredFew = 2;
 // So many answers on a newer connection tell that the server is well and the silent one is dead.
 constexpr int kProofs = 2;
 
@@ -155,7 +157,7 @@
 }
 
 bool Leaves::silent(const Connection& c) const {
-  if (c.owesSince == 0) return false;
+  if (c.owesSince == 0 || (c.streams == 0 && c.unanswered <= kUnansweredFew)) return false;
   const double usual = meanTime_ + kSilentDeviations * deviation_;
   return loop_.now() - c.owesSince > std::clamp(Micros(usual), kSilentLeast, kSilentMost);
 }
@@ -256,6 +258,7 @@
   c.queued += frame.size();
   for (const Call& call : calls) c.out[call.id] = Out{call.attempt, false, c.queued, now};
   if (c.owesSince == 0) c.owesSince = now;
+  c.unanswered += int(calls.size());
   flush(c);
 }
 
@@ -301,6 +304,7 @@
 
 void Leaves::received(Connection& c, std::size_t bytes) {
   touch(c);
+  c.unanswered = 0;
   c.owesSince = c.streams > 0 ? loop_.now() : 0;
   c.reader.append({c.incoming.data(), bytes});
   Frame frame;
@@ -372,6 +376,10 @@
   loop_.deadlines.drop(c.deadline);
   loop_.deadlines.drop(c.stall);
   error_code ignored;
+  // Reset, so that what the other side has not taken yet does not reach it when its query has long had its
+  // answer.
+  if (c.up && (!expected || c.owesSince != 0))
+    c.socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
   c.socket.close(ignored);
   if (!expected) {
     counters_.add(c.up ? Count::leafConnectionsLost : Count::leafConnectsFailed);
--- a/src/net/leaves.hpp
+++ b/src/net/leaves.hpp
@@ -73,6 +73,7 @@
     int streams = 0;                         // live parts out and pending
     std::uint64_t order = 0;                 // of its opening
     Micros owesSince = 0;                    // first send after which nothing has come; 0: nothing is owed
+    int unanswered = 0;                      // sends since the last bytes came
     int proofs = 0;                          // answers to what was sent while an older connection owed
     std::string outgoing;
     std::uint64_t queued = 0, written = 0;  // bytes, over the connection's life
