Send no copies for a time while all servers stand still at once

Cause: brain.cpp drive() copies what outlives the delay even if nothing at all is heard. Now none goes out for at most 150 ms of such a silence. Test: Health.WhileAllServersStandStill..., seen to fail without.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -45,6 +45,12 @@
 
 constexpr Micros kAskFirst = 300 * kMs, kAskMost = 5 * kSecond;  // back-off between calls to discovery
 
+// All servers stand still when nothing came for so many usual gaps between answers while so many of them owe,
+// for a time.
+constexpr double kStillGaps = 8.0;
+constexpr int kStillServers = 4;
+constexpr Micros kStillMost = 150 * kMs;
+
 constexpr double kAdmitShare = 0.65;  // of the time to its aim, that a query's parts may be expected to take
 constexpr double kValueLeast = 0.4;   // what earns nothing is let in up to this part of the share
 constexpr double kLoadRatioMost = 5.0;  // trust in scaling a latency by the queue
@@ -190,6 +196,8 @@
   std::int64_t turn = 0;
   double warmRate = 0.0;                           // parts a second that a warm server does for this instance
   std::vector<std::vector<Server*>> shardHolders;  // serving, by shard modulo cells; made anew with each list
+  double doneTotal = 0.0;                          // parts a second that all warm servers do
+  Micros heardAt = -kNever;                        // when any server last said something
   Micros newestServed = -kNever;                   // when the latest part that any server served was sent
   Micros timerAt = -1;
   Micros askAt = -1, askedAt = -1, askGap = kAskFirst;
@@ -292,6 +300,7 @@
       ++warm;
     }
     warmRate = rate / std::max(1, warm);
+    doneTotal = rate;
     peerMean = pooled.ready() ? double(pooled.median) : 0.0;
   }
   // Few answers come from each server, so its own mean counts by how many there were lately, the peers' for
@@ -617,6 +626,15 @@
     }
     return true;
   }
+  // What holds up all servers at once is the way to them or this machine: a copy would only wait with the
+  // rest, and go out ahead of answers that are already on their way. Bounded, so that it holds no copy back
+  // for long.
+  bool allStandStill() const {
+    const Micros quiet = now - heardAt;
+    if (quiet > kStillMost || double(quiet) * doneTotal < kStillGaps * double(kSecond)) return false;
+    return std::ranges::count_if(servers, [](const auto& e) { return e.second.partsOut > 0; }) >=
+           kStillServers;
+  }
   Part* nextSpare(Query& q) {
     for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k)
       if (q.parts[k].spare) return &q.parts[k];
@@ -638,7 +656,7 @@
         }
       }
       const bool live = p.anyLive();
-      if (live && p.attempts.size() > 1) continue;
+      if (live && (p.attempts.size() > 1 || allStandStill())) continue;
       const Attempt& last = p.attempts.back();
       const bool refused = !live && last.refused;
       // The last attempt is not burnt within milliseconds on holders that fail or refuse at once.
@@ -703,7 +721,7 @@
   void learn(Query& q, const Attempt& a, Server& s, const AttemptEnded& e) {
     const double latency = double(now - a.sentAt) / sizeOf(q.cls);
     if (e.outcome == Outcome::done || e.outcome == Outcome::error || e.outcome == Outcome::busy)
-      s.lastHeard = s.connUsed = now;
+      s.lastHeard = s.connUsed = heardAt = now;
     if (e.outcome == Outcome::done || e.outcome == Outcome::error) {
       if (a.sentAt >= s.brokenAt && s.lastAnswered <= s.brokenAt && now - s.brokenAt < kOutliveSpan)
         s.outlivedAt = now;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -575,6 +575,41 @@
   }
 }
 
+TEST(Health, WhileAllServersStandStillNoCopyIsSentForATime) {
+  // Guards against copies for answers that are on their way, when the network or this machine has stood
+  // still.
+  for (const bool still : {true, false}) {
+    Rig rig(plainSettings());
+    rig.servers(fleet(6));
+    std::map<Micros, std::vector<std::size_t>> due;  // most take 20 ms, one in ten 100 ms
+    const auto step = [&](bool serve, bool ask, Micros takes) {
+      if (ask) {
+        rig.query(1, 0, 4000 * ms, "w" + std::to_string(rig.queries));
+        due[rig.now + takes].push_back(rig.sends.size() - 1);
+      }
+      rig.pass(5 * ms);
+      for (; serve && !due.empty() && due.begin()->first <= rig.now; due.erase(due.begin()))
+        for (const std::size_t k : due.begin()->second) rig.finish(k);
+    };
+    for (int k = 0; k < 400; ++k) step(true, true, k % 10 == 0 && k < 370 ? 100 * ms : 20 * ms);
+    std::set<std::string> met;
+    for (int k = 0; met.size() < 6; ++k) {
+      rig.query(1, 0, 4000 * ms, "s" + std::to_string(k));
+      met.insert(rig.sends.back().server);
+    }
+    const std::size_t asked = rig.sends.size();
+    const auto copies = [&] {
+      std::size_t n = 0;
+      for (std::size_t k = asked; k < rig.sends.size(); ++k) n += rig.attemptOf(rig.sends[k]) > 0;
+      return n;
+    };
+    for (int k = 0; k < 25; ++k) step(!still, !still, 10 * ms);
+    EXPECT_EQ(copies() == 0, still);
+    rig.pass(100 * ms);
+    EXPECT_GT(copies(), 0u);
+  }
+}
+
 TEST(Suspects, WhereServersOutliveTheirConnectionsTheFirstResetDoubtsNobody) {
   // Guards against most servers in doubt at once where connections break under requests while the servers are
   // well.
