--- a/bench/grpc_bench.cpp
+++ b/bench/grpc_bench.cpp
@@ -3,6 +3,8 @@
 // closed loop of so many calls at once, for so long. Prints a table; ratios are what it is for, for machines
 // differ.
 //
+// Then HTTP queries at a steady rate, alone and with gRPC calls in the same mixer.
+//
 //   cometdeal_grpc_bench [SECONDS of each step]
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -17,10 +19,15 @@
 #include <vector>
 
 #include "front/grpc/server.hpp"
+#include "front/http/clients.hpp"
+#include "leaf/frame/links.hpp"
 #include "leaf/grpc/channels.hpp"
+#include "leaf/sides.hpp"
 #include "leaf/sockets.hpp"
+#include "standin/frame_leaf.hpp"
 #include "standin/grpc_client.hpp"
 #include "standin/grpc_leaf.hpp"
+#include "standin/http_client.hpp"
 
 using namespace cometdeal;
 using namespace cometdeal::net;
@@ -40,8 +47,8 @@
 
 struct Child {
   pid_t pid = 0;
-  std::uint16_t port = 0;
-  double cpu() const {  // seconds
+  std::uint16_t port = 0, second = 0;  // gRPC and frames or HTTP
+  double cpu() const {                 // seconds
     std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
     std::string word;
     long ticks = 0;
@@ -57,7 +64,7 @@
   }
 };
 
-// Runs `serve` in a process of its own; it tells its port over the pipe and ends with it.
+// Runs `serve` in a process of its own; it tells its ports over the pipe.
 template <typename Serve>
 Child start(const Serve& serve) {
   int pipes[2];
@@ -70,12 +77,16 @@
     _exit(0);
   }
   close(pipes[1]);
-  if (read(pipes[0], &out.port, sizeof out.port) != sizeof out.port) std::abort();
+  std::uint16_t ports[2];
+  if (read(pipes[0], ports, sizeof ports) != sizeof ports) std::abort();
   close(pipes[0]);
+  out.port = ports[0];
+  out.second = ports[1];
   return out;
 }
-void tell(int pipe, std::uint16_t port) {
-  if (write(pipe, &port, sizeof port) != sizeof port) std::abort();
+void tell(int pipe, std::uint16_t port, std::uint16_t second) {
+  const std::uint16_t ports[2] = {port, second};
+  if (write(pipe, ports, sizeof ports) != sizeof ports) std::abort();
 }
 
 void serveLeaf(int pipe) {
@@ -85,11 +96,13 @@
   limits.streamWindow = 256 * 1024;
   standin::GrpcLeaf leaf(loop, limits);
   leaf.keepMessages = leaf.keepSeen = false;
-  tell(pipe, leaf.port());
+  standin::FrameLeaf frames(loop, [](const auto&) { return standin::FrameLeaf::Reply{}; });
+  frames.keepSeen = false;
+  tell(pipe, leaf.port(), frames.port());
   loop.io.run();
 }
 
-void serveMixer(int pipe, std::uint16_t leafPort) {
+void serveMixer(int pipe, const Child& leaf) {
   Loop loop;
   Counters counters;
   Settings set;
@@ -110,18 +123,24 @@
   config.listen.port = 0;
   ChannelLimits limits;
   limits.connectionsPerLeaf = config.connectionsPerLeaf;
-  LeafSockets side(loop, std::make_unique<Channels>(limits, &counters));
-  Mixer mixer(loop, counters, side, set, host, 7);
+  limits.portOffset = int(leaf.port) - int(leaf.second);
+  host.streams = 1000;
+  LeafSockets texts(loop, std::make_unique<Links>(linkLimits(host, set, 64), &counters));
+  LeafSockets exchanges(loop, std::make_unique<Channels>(limits, &counters));
+  LeafSides sides(texts, exchanges);
+  Mixer mixer(loop, counters, sides, set, host, 7);
   LeafList list;
   list.whole = true;
   LeafEntry entry;
   entry.name = "s";
-  entry.address = {"127.0.0.1", leafPort};
+  entry.address = {"127.0.0.1", leaf.second};
   list.entries = {entry};
   mixer.list(list, ListKind::complete);
   GrpcServer server(loop, counters, mixer, config, host.classKeyed, host.shards);
   server.listen();
-  tell(pipe, server.port());
+  Clients clients(loop, counters, mixer, 4000);
+  clients.listen({"127.0.0.1", 0});
+  tell(pipe, server.port(), clients.port());
   loop.io.run();
 }
 
@@ -130,9 +149,9 @@
   double seconds = 0, p50 = 0, p99 = 0;
 };
 
-// So many calls at once over a few connections, for so long.
+// So many calls at once over a few connections, for so long; with a pace, no more than so many a second.
 Figures load(std::uint16_t port, const std::string& path, const std::string& script, const std::string& body,
-             int atOnce, double seconds) {
+             int atOnce, double seconds, double pace = 0) {
   Loop loop;
   http2::Limits limits;
   limits.streamWindow = 256 * 1024;
@@ -146,8 +165,14 @@
   const Micros began = loop.now(), end = began + Micros(seconds * 1e6);
   std::size_t open = 0;
   const http2::Fields fields{{"script", script}, {"grpc-timeout", "30S"}};
+  std::uint64_t begun = 0;
   const auto again = [&](GrpcClient& client) {
-    if (client.call(path, fields, body)) ++open;
+    const Micros due = pace > 0 ? began + Micros(double(begun) * 1e6 / pace) : 0;
+    ++begun;
+    const auto now = [&, c = &client] {
+      if (c->call(path, fields, body)) ++open;
+    };
+    due > loop.now() ? void(loop.deadlines.add(due, now)) : now();
   };
   for (auto& client : clients)
     client->onOver = [&, c = client.get()](const GrpcClient::Held& r) {
@@ -174,6 +199,39 @@
   return out;
 }
 
+// HTTP queries at a steady rate, whatever becomes of them; in time: within 50 ms of when each was due.
+struct Service {
+  double share = 0, p50 = 0, p99 = 0;  // microseconds
+};
+Service steadyHttp(std::uint16_t port, double rate, double seconds) {
+  constexpr int kConnections = 100;
+  Loop loop;
+  std::vector<std::unique_ptr<standin::HttpClient>> clients;
+  for (int k = 0; k < kConnections; ++k) clients.push_back(std::make_unique<standin::HttpClient>(loop, port));
+  std::vector<double> times;
+  const int all = int(rate * seconds);
+  int over = 0;
+  const Micros began = loop.now() + 20'000;
+  for (int k = 0; k < all; ++k)
+    loop.deadlines.add(began + Micros(k * 1e6 / rate), [&, k, due = began + Micros(k * 1e6 / rate)] {
+      standin::HttpQuery query;
+      query.id = std::to_string(getpid()) + "-" + std::to_string(due) + "-" + std::to_string(k);
+      clients[std::size_t(k % kConnections)]->ask(query.request(), [&, due](const HttpMessage& reply) {
+        ++over;
+        if (reply.status == 200) times.push_back(double(loop.now() - due));
+      });
+    });
+  while (over < all && loop.now() < began + Micros(seconds * 1e6) + 5'000'000) {
+    loop.io.restart();
+    loop.io.run_for(std::chrono::milliseconds(5));
+  }
+  std::ranges::sort(times);
+  Service out;
+  out.share = double(std::ranges::lower_bound(times, 50'000.0) - times.begin()) / all;
+  if (!times.empty()) out.p50 = times[times.size() / 2], out.p99 = times[times.size() * 99 / 100];
+  return out;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -181,7 +239,7 @@
   rlimit files{8192, 8192};
   setrlimit(RLIMIT_NOFILE, &files);
   const Child leaf = start(serveLeaf);
-  const Child mixer = start([&](int pipe) { serveMixer(pipe, leaf.port); });
+  const Child mixer = start([&](int pipe) { serveMixer(pipe, leaf); });
 
   std::printf("%-28s %10s %10s %8s %8s %8s %8s %7s\n", "load", "direct/s", "mixer/s", "ratio", "p50 +us",
               "p99 +us", "calls/cpu-s", "failed");
@@ -210,6 +268,38 @@
     std::fflush(stdout);
   }
 
+  // Both fronts at once, alternating with HTTP alone.
+  constexpr double kHttpRate = 2000;
+  std::printf("%-44s %10s %10s %10s %12s\n", "HTTP, 2,000 queries/s", "in 50 ms", "p50 us", "p99 us",
+              "gRPC calls/s");
+  for (int round = 0; round < 3; ++round)
+    for (const double pace : {0.0, 10'000.0, -1.0}) {  // none; steady; as many as go through
+      int pipes[2];
+      if (pipe(pipes) != 0) std::abort();
+      const pid_t other = pace == 0 ? 0 : fork();
+      if (pace != 0 && other == 0) {
+        const Figures f = load(mixer.port, "/b.B/Unary", "read message=100 status=0", small, 100,
+                               seconds + 0.4, std::max(0.0, pace));
+        const double rate = double(f.calls - f.failed) / f.seconds;
+        _exit(write(pipes[1], &rate, sizeof rate) == sizeof rate ? 0 : 1);
+      }
+      close(pipes[1]);
+      usleep(200'000);
+      const Service http = steadyHttp(mixer.second, kHttpRate, seconds);
+      double rate = 0;
+      if (pace != 0) {
+        if (read(pipes[0], &rate, sizeof rate) != sizeof rate) std::abort();
+        waitpid(other, nullptr, 0);
+      }
+      close(pipes[0]);
+      std::printf("%-44s %9.2f%% %10.0f %10.0f %12.0f\n",
+                  pace == 0  ? "alone"
+                  : pace > 0 ? "with 10,000 gRPC calls/s"
+                             : "with 100 gRPC calls always open",
+                  100 * http.share, http.p50, http.p99, rate);
+      std::fflush(stdout);
+    }
+
   // Memory of the mixer: idle connections, then open streams on one.
   {
     Loop loop;
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -31,11 +31,12 @@
   using tcp = boost::asio::ip::tcp;
 
   Clients(Loop& loop, Counters& counters, Mixer& mixer, int connectionsMost);
-  void listen(const Address& address);  // throws boost::system::system_error
-  void drain(Micros endBy);             // from now on /up says no, and what is taken has its answer by then
-  void turnAway();                      // answers end their connections, idle ones are closed
-  void finish();                        // closes the listener, takes what it still held, and all that is idle
-  bool busy() const;                    // a request has begun to come in or waits for its answer
+  void listen(const Address& address);  // throws boost::system::system_error; port 0: any that is free
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  void drain(Micros endBy);  // from now on /up says no, and what is taken has its answer by then
+  void turnAway();           // answers end their connections, idle ones are closed
+  void finish();             // closes the listener, takes what it still held, and all that is idle
+  bool busy() const;         // a request has begun to come in or waits for its answer
   std::size_t connections() const { return connections_.size(); }
 
  private:
--- /dev/null
+++ b/src/standin/frame_leaf.cpp
@@ -0,0 +1,154 @@
+#include "frame_leaf.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+#include "leaf/frame/frame.hpp"
+
+namespace cometdeal::standin {
+
+using boost::system::error_code;
+using tcp = boost::asio::ip::tcp;
+
+struct FrameLeaf::Connection {
+  explicit Connection(tcp::socket s) : socket(std::move(s)) {}
+  tcp::socket socket;
+  net::FrameReader reader{"DKIU"};
+  std::array<char, 16384> incoming;
+  std::string outgoing;
+  bool writing = false, closed = false;
+};
+
+FrameLeaf::FrameLeaf(net::Loop& loop, Script how)
+    : script(std::move(how)),
+      loop_(loop),
+      acceptor_(loop.strand, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+  port_ = acceptor_.local_endpoint().port();
+  accept();
+}
+
+FrameLeaf::~FrameLeaf() {
+  stopListening();
+  closeAll(false);
+}
+
+void FrameLeaf::stopListening() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void FrameLeaf::closeAll(bool reset) {
+  const auto all = connections_;
+  for (const auto& c : all) close(c, reset);
+}
+
+void FrameLeaf::accept() {
+  acceptor_.async_accept([this](error_code ec, tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted || !acceptor_.is_open()) return;
+    if (!ec) {
+      const auto c = std::make_shared<Connection>(std::move(socket));
+      c->socket.set_option(tcp::no_delay(true), ec);
+      connections_.insert(c);
+      read(c);
+    }
+    accept();
+  });
+}
+
+void FrameLeaf::read(const std::shared_ptr<Connection>& c) {
+  c->socket.async_read_some(boost::asio::buffer(c->incoming), [this, c](error_code ec, std::size_t n) {
+    if (c->closed) return;
+    if (ec) return close(c, false);
+    c->reader.append({c->incoming.data(), n});
+    net::Frame frame;
+    while (!c->closed) {
+      const net::FrameReader::State state = c->reader.next(frame);
+      if (state == net::FrameReader::State::more) return read(c);
+      if (state == net::FrameReader::State::bad) return close(c, false);
+      if (frame.letter == 'D') call(c, frame.rest);
+      if (frame.letter == 'I' || frame.letter == 'U') write(c, net::writeFrame(frame.letter, "200"));
+      if (frame.letter == 'K') {
+        ++cancelled;
+        for (Part& p : seen_)
+          if (p.id == frame.rest && p.cancelled == 0 && !p.answered) p.cancelled = loop_.now();
+      }
+    }
+  });
+}
+
+// Lines `ID SHARD LIST LENGTH`, each with so many bytes behind it.
+void FrameLeaf::call(const std::shared_ptr<Connection>& c, const std::string& rest) {
+  for (std::size_t at = 0; at < rest.size() && !c->closed;) {
+    const std::size_t end = rest.find('\n', at);
+    if (end == std::string::npos) return close(c, false);
+    std::array<std::string, 4> words;
+    std::size_t from = at;
+    for (std::string& word : words) {
+      const std::size_t space = std::min(rest.find(' ', from), end);
+      word = rest.substr(from, space - from);
+      from = std::min(space + 1, end);
+    }
+    std::size_t length = 0;
+    Part p;
+    std::from_chars(words[1].data(), words[1].data() + words[1].size(), p.shard);
+    std::from_chars(words[3].data(), words[3].data() + words[3].size(), length);
+    p.id = words[0];
+    p.list = words[2];
+    p.fetch = p.id.ends_with(".fetch");
+    if (const std::size_t named = p.list.find("from="); named != std::string::npos)
+      p.from = p.list.substr(named + 5, p.list.find(',', named) - named - 5);
+    p.text = rest.substr(end + 1, length);
+    p.at = loop_.now();
+    at = end + 1 + length;
+    part(c, std::move(p));
+  }
+}
+
+void FrameLeaf::part(const std::shared_ptr<Connection>& c, Part p) {
+  ++asked;
+  const Reply reply = script(p);
+  const std::string id = p.id;
+  std::size_t seen = SIZE_MAX;
+  if (keepSeen) {
+    seen = seen_.size();
+    seen_.push_back(std::move(p));
+  }
+  if (reply.how == Reply::How::nothing) return;
+  if (reply.after <= 0) return act(c, id, seen, reply);
+  loop_.deadlines.add(loop_.now() + reply.after, [this, c, id, seen, reply] { act(c, id, seen, reply); });
+}
+
+void FrameLeaf::act(const std::shared_ptr<Connection>& c, const std::string& id, std::size_t seen,
+                    const Reply& reply) {
+  if (c->closed) return;
+  if (reply.how != Reply::How::answer) return close(c, reply.how == Reply::How::reset);
+  if (seen < seen_.size()) seen_[seen].answered = true;
+  write(c, net::writeFrame('O', id + " " + std::to_string(reply.end) + " " + reply.score + " " +
+                                    reply.report + "\n" + reply.value));
+}
+
+void FrameLeaf::write(const std::shared_ptr<Connection>& c, const std::string& bytes) {
+  c->outgoing += bytes;
+  if (c->writing || c->closed) return;
+  c->writing = true;
+  const auto text = std::make_shared<const std::string>(std::exchange(c->outgoing, {}));
+  boost::asio::async_write(c->socket, boost::asio::buffer(*text),
+                           [this, c, text](error_code ec, std::size_t) {
+                             c->writing = false;
+                             if (c->closed) return;
+                             if (ec) return close(c, false);
+                             if (!c->outgoing.empty()) write(c, {});
+                           });
+}
+
+void FrameLeaf::close(const std::shared_ptr<Connection>& c, bool reset) {
+  if (std::exchange(c->closed, true)) return;
+  error_code ignored;
+  if (reset) c->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  c->socket.close(ignored);
+  connections_.erase(c);
+}
+
+}  // namespace cometdeal::standin
