Hold copies back through standstills of up to 0.6 s, where many servers owe

At 150 ms of quiet the module took up copying again (kStillMost, in flows() and noteStandstill()), so a standstill that is a little longer has its copies written in its last milliseconds: they lie unread, the answers come first. Changed: with four servers or more that owe, quiet holds copies back for 0.6 s; with fewer for 0.15 s as before. Copies for connections that are held for dead wait as well, for an answer in between.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,14 +50,15 @@
 constexpr Micros kAskFirst = 300 * kMs, kAskMost = 5 * kSecond;  // back-off between calls to discovery
 
 // All servers stand still when nothing came for so many usual gaps between answers while so many of them owe.
-// Of one standstill so much counts as no time at all; where answers come seldom, a gap proves nothing.
+// So much of it counts as no time at all. A quiet in which fewer owe holds copies back for less; rare answers
+// prove nothing.
 constexpr double kStillGaps = 4.0;
 constexpr int kStillServers = 4;
-constexpr Micros kStillMost = 150 * kMs, kStillBegin = 40 * kMs;
+constexpr Micros kStillMost = 600 * kMs, kQuietMost = 150 * kMs, kStillBegin = 40 * kMs;
 
 // A copy of what still runs needs signs of life: an answer within a usual gap, and answers for so long since
-// the last standstill ended. What stands still holds the copy back unread, and the answer that it was made
-// against comes in the same instant as all others.
+// the last standstill ended, or the answer that the copy was made against comes in the same instant as all
+// others.
 constexpr Micros kFlowLeast = 1 * kMs, kFlowSettle = 5 * kMs;
 
 constexpr double kAdmitShare = 0.65;  // of the time to its aim, that a query's parts may be expected to take
@@ -367,16 +368,17 @@
     return common && now < idleTrustedFrom && now > newAreDear ? idleTrusted : kNever;
   }
   // What holds up all servers at once is the way to them or this machine. That time makes no part late and no
-  // server silent: a copy would only wait with the rest, or go out, when all moves again, in the instant
-  // before the answers that are already on their way. Bounded, so that it holds no copy back for long. Called
-  // ahead of a turn's events, for these end the quiet.
+  // server silent: a copy would wait with the rest, or go out as all moves again, in the instant before the
+  // answers. Called ahead of a turn's events, for these end the quiet.
   void noteStandstill() {
     const double gaps = kStillGaps * usualGap();
     const Micros from = std::max(heardAt + Micros(gaps), lookedAt), to = std::min(now, heardAt + kStillMost);
     lookedAt = now;
-    if (gaps > double(kStillBegin)) return;
-    const auto owe = [](const auto& e) { return e.second.partsOut > 0; };
-    if (to > from && std::ranges::count_if(servers, owe) >= kStillServers) stood += to - from;
+    if (gaps <= double(kStillBegin) && to > from && manyOwe()) stood += to - from;
+  }
+  bool manyOwe() const {
+    return std::ranges::count_if(servers, [](const auto& e) { return e.second.partsOut > 0; }) >=
+           kStillServers;
   }
   double usualGap() const { return double(kSecond) / std::max(1.0, doneTotal); }  // between answers
   void heard() {
@@ -384,7 +386,8 @@
     heardAt = now;
   }
   bool flows() const {
-    if (kStillGaps * usualGap() > double(kStillBegin) || now - heardAt > kStillMost) return true;
+    if (kStillGaps * usualGap() > double(kStillBegin)) return true;
+    if (now - heardAt > (manyOwe() ? kStillMost : kQuietMost)) return true;
     return now - heardAt <= std::max(kFlowLeast, Micros(usualGap())) && now - flowsSince >= kFlowSettle;
   }
   // For how long it has waited, less what stood still.
@@ -690,7 +693,7 @@
       const bool final = set.maxAttempts && int(p.attempts.size()) + 1 >= *set.maxAttempts;
       if (final && !live && now - last.sentAt < baseDelay(q.cls) / 2) continue;
       const bool owedByLost = live && (last.lost || pathDoubted(*last.server));
-      if (live && !owedByLost && !flows()) continue;
+      if (live && !flows()) continue;
       Bucket& bucket = buckets[std::size_t(q.cls)];
       // What failed is replaced from an empty bucket too: nothing of it runs. What was refused for lack of
       // room only while few servers refuse: a full fleet must not be asked again for free.
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -604,12 +604,12 @@
       for (std::size_t k = asked; k < rig.sends.size(); ++k) n += rig.attemptOf(rig.sends[k]) > 0;
       return n;
     };
-    for (int k = 0; k < 25; ++k) step(!still, !still, 10 * ms);
+    for (int k = 0; k < 70; ++k) step(!still, !still, 10 * ms);
     EXPECT_EQ(copies() == 0, still);
     // The first answer ends the quiet; the others are on their way behind it, and meet no copies.
     rig.finish(asked - 1);
     EXPECT_EQ(copies() == 0, still);
-    rig.pass(400 * ms);  // a standstill counts for nothing up to a bound only
+    rig.pass(700 * ms);  // a standstill counts for nothing up to a bound only
     EXPECT_GT(copies(), 0u);
   }
 }
