Queries in two phases: plans, pruning, a learned split of the time, an emulator to judge it

The second step was one fixed rule inside the ledger; other installations want a first pass, pruning of what is asked in the second, and time kept for both. Changed: src/phases, without I/O: the plan as data, pruning (top, threshold, can-match, cover; never under a least share), the next step as a pure function, learned times on Boost.Histogram, the account that is told with the answer. The ledger carries it out; the module hears of steps that the host ends (StepBegan, the terms of a step, the server to prefer) and still chooses servers, copies and refusals. The platform's second step is a use of the same pruning. Plans come from YAML (key plans) or the query's body, both read strictly by one reader. src/emulator: the ledger and the module in virtual time; cometdeal lab phases compares ways to split the time. Tests: 200,000 random plans and timelines of the pure module; fifteen on sockets with scripted leaf servers, each answer held against what these saw: late first phases, cuts, skips, least shares, deaths, moves, drains and leaving clients between the phases.

--- a/include/cometdeal/aggregator.hpp
+++ b/include/cometdeal/aggregator.hpp
@@ -91,6 +91,13 @@
   ListKind kind = ListKind::complete;
   std::vector<ServerEntry> entries;
 };
+// Of a query whose steps are ended by the host, by StepBegan or ClientGone. The module's Answer tells the
+// host then that nothing more comes of the present step.
+struct StepTerms {
+  Micros time = 0;        // that the step may take, its copies included
+  double least = 1.0;     // weight without which nothing can be answered from it
+  bool fallback = false;  // what an earlier step brought can be answered in its place
+};
 struct QueryArrived {
   std::string id;
   std::int64_t group = 0;
@@ -100,12 +107,19 @@
   Micros timeLeft = 0;
   std::optional<std::string> key;
   bool repeated = false;
+  std::optional<StepTerms> terms;
+};
+struct StepBegan {  // ahead of its parts
+  std::string query;
+  int parts = 0;
+  StepTerms terms;
 };
 struct PartArrived {
   std::string id;
   std::int64_t group = 0;
   int shard = 0;
   double weight = 0.0;
+  std::string prefer = {};  // the server that has what the part needs at hand; empty: none
 };
 struct AttemptEnded {
   std::string part;
@@ -115,11 +129,12 @@
   Micros elapsed = 0;
   std::optional<LoadReport> load;
 };
-struct ClientGone {
+struct ClientGone {  // or the host has ended the query
   std::string id;
 };
 struct TimerFired {};
-using Event = std::variant<ListArrived, QueryArrived, PartArrived, AttemptEnded, ClientGone, TimerFired>;
+using Event =
+    std::variant<ListArrived, QueryArrived, PartArrived, AttemptEnded, ClientGone, TimerFired, StepBegan>;
 
 // Actions.
 struct Send {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,8 +22,8 @@
 constexpr int kOverflowFactor = 2, kOverflowPlus = 1;  // home is left at load > factor x mean + plus
 
 constexpr Micros kLook = 10 * kMs;  // how often open queries are looked at; 5 to 20 ms make no difference
-// Between two looks at all of them at least this share of a tick, and so much for each open query: looking at
-// them all at every event costs the more the more are open, and a jam would feed itself.
+// Between two looks at all of them at least this share of a tick, and so much for each: a jam would feed
+// itself.
 constexpr double kLookShare = 0.8;
 constexpr Micros kLookEach = 20;
 constexpr int kEndTicks = 3;            // final answers go this many ticks ahead of a time limit ...
@@ -127,14 +127,12 @@
 };
 
 struct Part {
-  std::string id;
+  std::string id, prefer;
   int shard = 0;
   double weight = 0.0;
   bool done = false, spare = false, late = false;
   std::vector<Attempt> attempts;
-  bool anyLive() const {
-    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.live; });
-  }
+  bool anyLive() const { return std::ranges::any_of(attempts, &Attempt::live); }
 };
 
 struct Query {
@@ -143,7 +141,9 @@
   int cls = 0;
   std::uint64_t keyHash = 0;
   bool keyed = false, fresh = true, ended = false, overShare = false, firstWhole = false;
-  bool touched = false;  // something of this turn concerns it
+  bool touched = false;            // something of this turn concerns it
+  std::optional<StepTerms> terms;  // the host ends its steps
+  bool told = false;               // to the host: nothing more comes of this step
   int step = 1, resets = 0;
   bool cautious = false, proven = false, condemned = false;  // proven: a server has survived a part of it
   std::size_t stepBegin = 0, stepExpected = 0;               // parts of the present step
@@ -237,7 +237,7 @@
   const ClassSettings& classOf(const Query& q) const { return set.classes[std::size_t(q.cls)]; }
 
   // ---- Membership ----------------------------------------------------------------------------------------
-  void onList(const ListArrived& list) {
+  void on(const ListArrived& list) {
     if (list.kind == ListKind::unavailable) {
       if (!set.mustAskDiscovery) return;
       subscribed = false;
@@ -352,9 +352,8 @@
     s.mean += gain * (latency - s.mean);
     s.ratio += gain * (latency / peerMean - s.ratio);
   }
-  // A connection unused for long may be dead while its server is well: such an attempt doubts nobody and is
-  // sent again; when several show it, connections are closed before use after half the shortest pause that
-  // failed. Holds against whatever forgets connections; may hurt where new ones are dear.
+  // A connection unused for long may be dead while its server is well: such an attempt doubts nobody. When
+  // several show it, connections are closed before use after half the shortest pause that failed.
   Micros idleBefore(const Server& s) const {
     const Micros idle = now - s.connUsed;
     return idle < kIdleLeast || idle > set.connIdle.value_or(kNever) ? 0 : idle;
@@ -429,8 +428,7 @@
     if (a.idle <= idleLimit()) a.server->lastReset = now;
   }
   // A connection may break while its server is well. Where several servers lately served soon after a reset,
-  // the first reset of a server doubts it no longer; the next does, unless it has answered in between. Holds
-  // against whatever breaks connections; a server that is dead shows at the next connect.
+  // the first reset of a server doubts it no longer; the next does, unless it has answered in between.
   bool outlives(Server& s) {
     const bool again = s.brokenAt > s.lastAnswered && s.brokenAt < now;
     s.brokenAt = now;
@@ -438,10 +436,9 @@
   }
   bool manyRefuse() const { return shown(&Server::refusedAt, kRefuseSpan) > kRefuseShare * servers.size(); }
   bool seasonOfDeaths() const { return shown(&Server::lastReset, kDeathSpan) >= kDeathServers; }
-  // What is common to the servers of a zone shows in the sum. The path is in doubt when most of what went
-  // there is late and of another zone little; then it is left but for trials. Holds for cut, slow and lossy
-  // links and lost zones; may hurt where a zone's servers are slower and the rest can't carry its load: then
-  // all are late.
+  // The path to a zone is in doubt when most of what went there is late and of another zone little; then it
+  // is left but for trials. Holds for cut, slow and lossy links and lost zones; may hurt where a zone's
+  // servers are slower.
   void count(const Query& q, Attempt& a, bool inTime) {
     if (a.call <= a.server->votedCall) return;  // a call has one vote
     a.server->votedCall = a.call;
@@ -568,6 +565,7 @@
     if (std::erase_if(good, tooCold) > 0 && good.empty()) std::erase_if(good = all, tooCold);
     if (good.empty()) return nullptr;
     Server* home = *std::max_element(good.begin(), good.end(), [&](Server* a, Server* b) {
+      if ((a->id == p.prefer) != (b->id == p.prefer)) return b->id == p.prefer;
       return rank(q, p.shard, *a) < rank(q, p.shard, *b);
     });
     int total = 0;
@@ -711,7 +709,7 @@
   // Which parts to ask: where any so many make a whole answer, only as many as needed; the rest are spares.
   void pickParts(Query& q) {
     const ClassSettings& cls = classOf(q);
-    if (q.step != 1 || cls.need >= 1.0 - kWeightSlack) return;
+    if (q.step != 1 || q.terms || cls.need >= 1.0 - kWeightSlack) return;
     std::vector<std::pair<Micros, std::size_t>> order;
     for (std::size_t k = 0; k < q.parts.size(); ++k) {
       Server* s = firstTarget(q, q.parts[k]);
@@ -725,7 +723,7 @@
     }
   }
 
-  void onAttemptEnd(const AttemptEnded& e) {
+  void on(const AttemptEnded& e) {
     const auto at = groupOf.find(e.part);
     if (at == groupOf.end()) return;
     Query& q = queries.at(at->second);
@@ -851,16 +849,27 @@
     out.push_back(Answer{q.id, whole});
     const ClassSettings& cls = classOf(q);
     if (q.step == 2 || cls.followUp <= 0) return end(q);
-    int in = 0;
+    q.firstWhole = whole;
+    const auto in = std::ranges::count_if(q.parts, [](const Part& p) { return p.done; });
+    secondStep(q, std::size_t(std::min<std::ptrdiff_t>(cls.followUp, in)));
+  }
+  void secondStep(Query& q, std::size_t parts) {
     for (Part& p : q.parts) {
-      if (p.done) ++in;
       p.spare = false;
       for (std::size_t k = 0; k < p.attempts.size(); ++k) cancel(p, k);
     }
     q.step = 2;
-    q.firstWhole = whole;
     q.stepBegin = q.parts.size();
-    q.stepExpected = std::size_t(std::min(cls.followUp, in));
+    q.stepExpected = parts;
+  }
+  void on(const StepBegan& e) {
+    const auto at = groupOf.find(e.query);
+    if (at == groupOf.end()) return;
+    Query& q = queries.at(at->second);
+    q.terms = e.terms, q.told = false;
+    q.aimAt = std::min(now + e.terms.time, q.deadlineAt);
+    secondStep(q, std::size_t(e.parts));
+    touch(q);
   }
   void conclude(Query& q) {
     if (q.condemned) {
@@ -879,6 +888,12 @@
       allIn = allIn && q.parts[k].done;
       if (stillPossible(q, q.parts[k])) possible += q.parts[k].weight;
     }
+    if (q.terms) {  // the host ends the step, told when nothing more comes of it
+      if (q.told || (now < q.deadlineAt - endMargin() && (!complete || possible > in + kWeightSlack))) return;
+      if (in < q.terms->least - kWeightSlack && !q.terms->fallback) return giveUp(q);
+      q.told = true;
+      return out.push_back(Answer{q.id, false});
+    }
     if (complete && (allIn || (need < 1.0 - kWeightSlack && in >= need - kWeightSlack)))
       return answer(q, q.step == 1 || q.firstWhole);
     const bool enough = complete && floor < need - kWeightSlack && in >= floor - kWeightSlack;
@@ -893,7 +908,7 @@
   }
 
   // ---- Admission -----------------------------------------------------------------------------------------
-  void onQuery(const QueryArrived& e) {
+  void on(const QueryArrived& e) {
     if (set.budget) taken.push_back(now);
     if (queries.contains(e.group)) return;
     if (e.cls < 0 || std::size_t(e.cls) >= set.classes.size()) {
@@ -911,17 +926,18 @@
     const Micros spent = e.repeated ? std::max<Micros>(0, cls.deadline - e.timeLeft) : 0;
     q.aimAt = std::min(now + std::max<Micros>(0, cls.aim - spent), q.deadlineAt);
     q.stepExpected = std::size_t(std::max(0, e.parts));
+    q.terms = e.terms;
+    if (q.terms) q.aimAt = std::min(now + q.terms->time, q.deadlineAt);
     q.overShare = !withinShare(e.tenant);
     q.cautious = e.repeated && seasonOfDeaths();
     groupOf[e.id] = e.group;
   }
-  void onPart(const PartArrived& e) {
+  void on(const PartArrived& e) {
     if (set.budget) taken.push_back(now);
     const auto at = queries.find(e.group);
     if (at == queries.end()) return;
-    Part p;
-    p.id = e.id, p.shard = e.shard, p.weight = e.weight;
-    at->second.parts.push_back(std::move(p));
+    Part& p = at->second.parts.emplace_back();
+    p.id = e.id, p.shard = e.shard, p.weight = e.weight, p.prefer = e.prefer;
     touch(at->second);
     groupOf[e.id] = e.group;
   }
@@ -967,7 +983,10 @@
   }
 
   // ---- Entry point ---------------------------------------------------------------------------------------
-  void onGone(const ClientGone& e) {
+  void on(const TimerFired&) {
+    if (now >= timerAt) timerAt = -1, nextLook = now;  // a look is due
+  }
+  void on(const ClientGone& e) {
     const auto at = groupOf.find(e.id);
     if (at == groupOf.end()) return;
     Query& q = queries.at(at->second);
@@ -976,8 +995,7 @@
   }
   void forgetEnded(std::int64_t group) {
     const Query& q = queries.at(group);
-    const auto out = [](const Part& p) { return p.anyLive(); };
-    if (!q.ended || std::any_of(q.parts.begin(), q.parts.end(), out)) return;
+    if (!q.ended || std::ranges::any_of(q.parts, &Part::anyLive)) return;
     groupOf.erase(q.id);
     for (const Part& p : q.parts) groupOf.erase(p.id);
     queries.erase(group);
@@ -990,14 +1008,7 @@
   void react(std::span<const Event> events) {
     ++turn;
     noteStandstill();
-    for (const Event& event : events) {
-      if (const auto* e = std::get_if<ListArrived>(&event)) onList(*e);
-      if (const auto* e = std::get_if<QueryArrived>(&event)) onQuery(*e);
-      if (const auto* e = std::get_if<PartArrived>(&event)) onPart(*e);
-      if (const auto* e = std::get_if<AttemptEnded>(&event)) onAttemptEnd(*e);
-      if (const auto* e = std::get_if<ClientGone>(&event)) onGone(*e);
-      if (std::get_if<TimerFired>(&event) && now >= timerAt) timerAt = -1, nextLook = now;  // a look is due
-    }
+    for (const Event& event : events) std::visit([this](const auto& e) { on(e); }, event);
     peerMean = pooled.ready() ? double(pooled.median) : 0.0;
     followDiscovery();
     if (now >= nextLook) {
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -108,11 +108,16 @@
   if (seed.empty() || std::from_chars(seed.data(), end, out.seed, 16).ptr != end)
     throw BadConfig("'seed' is not a number in hex");
   out.grpcFile = body.value("grpc", "");
+  out.plansFile = body.value("plans", "");
   if (body.contains("limits")) out.sockets = body["limits"].value("sockets", out.sockets);
   const Json& settings = need(body, "settings");
   out.settings = wire::readSettings(settings);
   if (out.settings.classes.empty()) throw BadConfig("'categories' names no class");
   out.host = readHost(settings);
+  for (const ClassSettings& cls : out.settings.classes) {
+    out.host.classNeed.push_back(cls.need);
+    out.host.classFloor.push_back(cls.floor);
+  }
   if (out.host.shards <= 0) throw BadConfig("'ranges' is not a number of shards");
   // The list as last held only saves time: without a good one discovery is asked for the whole.
   if (body.contains("known") && !body["known"].is_null()) try {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -31,7 +31,8 @@
   Settings settings;
   HostSettings host;
   std::optional<LeafList> known;
-  std::string grpcFile;  // the gRPC side's own configuration; empty: there is none
+  std::string grpcFile;   // the gRPC side's own configuration; empty: there is none
+  std::string plansFile;  // of queries in phases; empty: there is none
 };
 Config readConfig(const nlohmann::json& body);   // throws BadConfig
 Config readConfigFile(const std::string& path);  // throws BadConfig
--- /dev/null
+++ b/src/config/plans.cpp
@@ -0,0 +1,46 @@
+#include "plans.hpp"
+
+#include <algorithm>
+
+#include "phases/read.hpp"
+#include "yaml.hpp"
+
+namespace cometdeal::net {
+namespace {
+
+QueryPlans read(StrictYaml root, const std::vector<std::string>& classNames,
+                const std::vector<ClassSettings>& classes) {
+  QueryPlans out;
+  out.ofClass.resize(classNames.size());
+  if (auto may = root.find("queries_may_plan")) out.inQueries = may->boolean();
+  if (auto list = root.find("classes"))
+    for (StrictYaml one : list->list()) {
+      const StrictYaml named = one.need("class");
+      const std::string name = named.string();
+      const auto at = std::ranges::find(classNames, name);
+      if (at == classNames.end()) named.fail("unknown class '" + name + "'");
+      const std::size_t cls = std::size_t(at - classNames.begin());
+      if (out.ofClass[cls]) named.fail("the class '" + name + "' stands twice");
+      if (classes[cls].followUp > 0)
+        named.fail("the class '" + name + "' has a second step of its own in the settings");
+      out.ofClass[cls] = std::make_shared<const phases::Plan>(
+          phases::readPlan(one.need("phases"), classes[cls].need, classes[cls].floor));
+      one.done();
+    }
+  root.done();
+  return out;
+}
+
+}  // namespace
+
+QueryPlans readPlans(const std::string& text, const std::string& name,
+                     const std::vector<std::string>& classNames, const std::vector<ClassSettings>& classes) {
+  return read(StrictYaml::text(text, name), classNames, classes);
+}
+
+QueryPlans readPlansFile(const std::string& path, const std::vector<std::string>& classNames,
+                         const std::vector<ClassSettings>& classes) {
+  return read(StrictYaml::file(path), classNames, classes);
+}
+
+}  // namespace cometdeal::net
--- /dev/null
+++ b/src/config/plans.hpp
@@ -0,0 +1,18 @@
+// The YAML file with the classes' plans in two phases (docs/phases.md has every key).
+#pragma once
+
+#include <cometdeal/aggregator.hpp>
+#include <string>
+#include <vector>
+
+#include "core/settings.hpp"
+
+namespace cometdeal::net {
+
+// Throw BadConfig with file, line and column.
+QueryPlans readPlans(const std::string& text, const std::string& name,
+                     const std::vector<std::string>& classNames, const std::vector<ClassSettings>& classes);
+QueryPlans readPlansFile(const std::string& path, const std::vector<std::string>& classNames,
+                         const std::vector<ClassSettings>& classes);
+
+}  // namespace cometdeal::net
--- a/src/config/yaml.cpp
+++ b/src/config/yaml.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <cstdio>
 #include <fstream>
 #include <iterator>
 
@@ -108,6 +109,19 @@
   return value;
 }
 
+double StrictYaml::number(double least, double most) const {
+  double value = 0;
+  const std::string text = node_.IsScalar() ? node_.Scalar() : std::string();
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  if (text.empty() || ec != std::errc() || stop != end || !(value >= least && value <= most)) {
+    char bounds[64];
+    std::snprintf(bounds, sizeof bounds, "%g to %g", least, most);
+    fail(std::string("expected a number from ") + bounds + ", found " + shown());
+  }
+  return value;
+}
+
 bool StrictYaml::boolean() const {
   if (node_.IsScalar() && node_.Scalar() == "true") return true;
   if (node_.IsScalar() && node_.Scalar() == "false") return false;
--- a/src/config/yaml.hpp
+++ b/src/config/yaml.hpp
@@ -30,6 +30,7 @@
   std::vector<StrictYaml> list() const;
   std::string string() const;
   std::int64_t integer(std::int64_t least, std::int64_t most) const;
+  double number(double least, double most) const;
   bool boolean() const;
   Micros duration(Micros least, Micros most) const;  // "250ms", "1.5s", "2m"; never a bare number
   Address address() const;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -34,7 +34,12 @@
       "accept_failures",
       "reloads",
       "reloads_failed",
-      "turns"};
+      "turns",
+      "phases_first_early",
+      "phases_second_whole",
+      "phases_second_cut",
+      "phases_second_skipped",
+      "phases_second_failed"};
   static constexpr std::array<const char*, static_cast<std::size_t>(Outcome::skipped) + 1> outcomes = {
       "done", "error", "busy", "timed_out", "connect_failed", "reset", "cancelled", "skipped"};
   for (std::size_t k = 0; k < names.size(); ++k)
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -38,6 +38,11 @@
   reloads,
   reloadsFailed,
   turns,
+  firstsEarly,
+  secondsWhole,
+  secondsCut,
+  secondsSkipped,
+  secondsFailed,
   number,
 };
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -8,12 +8,16 @@
 // The module answers some ticks ahead of a query's end; what it left open this long before it is answered
 // here.
 constexpr Micros kBackstopMargin = 6'000;
+// A phase ends so many ticks, and so much for the way to the client, ahead of the time it is to be over by.
+constexpr int kPhaseTicks = 3;
+constexpr Micros kPhaseMargin = 5'000;
 
 std::string partId(const std::string& query, int shard) { return query + "." + std::to_string(shard); }
 
 }  // namespace
 
 std::vector<Event> Ledger::takeEvents() {
+  for (const Handle h : std::exchange(toJudge_, {})) judge(h);
   std::vector<Event> out = std::exchange(events_, {});
   for (Event& event : out)
     if (auto* query = std::get_if<QueryArrived>(&event)) query->timeLeft -= now_;
@@ -34,7 +38,8 @@
   handle = queries_.add();
   Query& q = *queries_.get(handle);
   q.asked = std::move(asked);
-  q.text = std::make_shared<const std::string>(std::move(q.asked.text));
+  const bool ownText = q.asked.plan && !q.asked.plan->phases[0].text.empty();
+  q.text = std::make_shared<const std::string>(ownText ? q.asked.plan->phases[0].text : q.asked.text);
   q.group = ++lastGroup_;
   byId_[q.asked.id] = handle;
   ++openQueries_;
@@ -50,16 +55,31 @@
   event.timeLeft = q.asked.until;  // made a span when the turn begins
   event.key = q.asked.key;
   event.repeated = q.asked.repeated;
-  push(std::move(event));
+  if (q.asked.plan) {
+    const ClassSettings& cls = classOf(q);
+    // Of a later try of a client only what is left is known: its aim counts from the first.
+    const Micros left = q.asked.until - now_;
+    const Micros spent = q.asked.repeated ? std::max<Micros>(0, cls.deadline - left) : 0;
+    q.phased.emplace();
+    q.phased->begun = q.phased->stepBegun = now_;
+    q.phased->aim = now_ + std::max<Micros>(0, cls.aim - spent);
+    q.phased->firstParts = q.asked.parts.size();
+    toJudge(handle, q);
+  }
   for (const QueryPart& p : q.asked.parts) {
     Part part;
     part.id = partId(q.asked.id, p.shard);
     part.shard = p.shard;
     part.weight = p.weight;
     parts_[part.id] = {handle, q.parts.size()};
-    push(PartArrived{part.id, q.group, part.shard, part.weight});
     q.parts.push_back(std::move(part));
   }
+  if (q.phased) {
+    event.timeLeft = times(q).until;
+    event.terms = terms(q);
+  }
+  push(std::move(event));
+  for (const Part& p : q.parts) push(PartArrived{p.id, q.group, p.shard, p.weight});
   return Taken::open;
 }
 
@@ -159,14 +179,22 @@
   Handle h;
   Query* q = openQuery(a.query, h);
   if (!q) return;
+  if (q->phased) {
+    q->phased->stuck = true;
+    return judge(h);
+  }
   if (q->step == 1 && classOf(*q).followUp > 0) return beginSecondStep(h, *q, a.whole);
+  finish(h, served(*q, q->stepBegin, q->parts.size(), a.whole));
+}
+
+FinalAnswer Ledger::served(Query& q, std::size_t from, std::size_t to, bool whole) {
   FinalAnswer answer;
   answer.kind = FinalAnswer::Kind::served;
-  answer.whole = a.whole;
-  for (std::size_t k = q->stepBegin; k < q->parts.size(); ++k)
-    if (q->parts[k].done) answer.rows.push_back({q->parts[k].shard, q->parts[k].value, q->parts[k].reply});
-  count(a.whole ? Count::answeredWhole : Count::answeredPartly);
-  finish(h, std::move(answer));
+  answer.whole = whole;
+  for (std::size_t k = from; k < to; ++k)
+    if (q.parts[k].done) answer.rows.push_back({q.parts[k].shard, q.parts[k].value, q.parts[k].reply});
+  count(whole ? Count::answeredWhole : Count::answeredPartly);
+  return answer;
 }
 
 void Ledger::act(const Refuse& a) {
@@ -191,32 +219,142 @@
                            [](const Part& p) { return !p.done; }));
 }
 
-// The parts of the second step go to the shards with the highest scores among those that are in.
+std::vector<phases::Seen> Ledger::seen(const Query& q) const {
+  std::vector<phases::Seen> out;
+  for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k) {
+    const Part& p = q.parts[k];
+    out.push_back({p.shard, p.weight, p.done, p.score});
+  }
+  return out;
+}
+
+// The platform's second step: the shards with the highest scores among those that are in, as many as its
+// class says.
 void Ledger::beginSecondStep(Handle h, Query& q, bool whole) {
-  std::vector<const Part*> in;
+  phases::Phase fetch;
+  fetch.prune.rule = phases::Rule::top;
+  fetch.prune.most = classOf(q).followUp;
+  const phases::Picked picked = phases::pick(fetch, seen(q));
+  if (picked.keep.empty()) return defect("an answer without any part", q.asked.id);
+  beginStep(h, q, picked.keep, whole);
+}
+
+// `ask`: places among the first step's parts.
+void Ledger::beginStep(Handle h, Query& q, const std::vector<std::size_t>& ask, bool whole) {
+  std::vector<int> in;
   for (const Part& p : q.parts)
-    if (p.done) in.push_back(&p);
-  if (in.empty()) return defect("an answer without any part", q.asked.id);
-  std::ranges::sort(in, {}, &Part::shard);
-  for (const Part* p : in) q.from += (q.from.empty() ? "" : "+") + std::to_string(p->shard);
-  std::ranges::stable_sort(in, std::greater<>(), &Part::score);
-  in.resize(std::min(in.size(), std::size_t(classOf(q).followUp)));
-  std::vector<int> shards;
-  shards.reserve(in.size());
-  for (const Part* p : in) shards.push_back(p->shard);
+    if (p.done) in.push_back(p.shard);
+  std::ranges::sort(in);
+  for (const int shard : in) q.from += (q.from.empty() ? "" : "+") + std::to_string(shard);
   q.step = 2;
   q.firstWhole = whole;
-  held_ += int(shards.size()) - openParts(q);
+  held_ += int(ask.size()) - openParts(q);
   q.stepBegin = q.parts.size();
-  for (const int shard : shards) {
+  q.parts.reserve(q.parts.size() + ask.size());
+  for (const std::size_t at : ask) {
+    const Part& first = q.parts[at];
     Part part;
-    part.id = q.asked.id + "." + std::to_string(shard) + ".fetch";
-    part.shard = shard;
-    part.weight = 1.0 / double(shards.size());
+    part.id = q.asked.id + "." + std::to_string(first.shard) + ".fetch";
+    part.shard = first.shard;
+    part.weight = q.phased ? first.weight : 1.0 / double(ask.size());
+    part.server = first.server;
     parts_[part.id] = {h, q.parts.size()};
-    push(PartArrived{part.id, q.group, part.shard, part.weight});
     q.parts.push_back(std::move(part));
   }
+  if (q.phased) push(StepBegan{q.asked.id, int(ask.size()), terms(q)});
+  // Who answered the first phase has what the second needs at hand.
+  for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k) {
+    const Part& p = q.parts[k];
+    push(PartArrived{p.id, q.group, p.shard, p.weight, q.phased ? p.server : std::string()});
+  }
+}
+
+// ---- Queries in phases -----------------------------------------------------------------------------------
+
+phases::Times Ledger::times(const Query& q) const {
+  const ClassSettings& cls = classOf(q);
+  // Where an answer after the aim is worth nothing, the aim is the end.
+  const Micros until = cls.lateShare > 0 ? q.asked.until : std::min(q.asked.until, q.phased->aim);
+  const Micros margin = kPhaseTicks * rules_->settings.tick + kPhaseMargin;
+  return {now_, q.phased->begun, std::min(q.phased->aim, until), until, margin};
+}
+
+phases::Needs Ledger::needs(const Query& q) const {
+  return [this, &q](int phase, std::size_t parts, double chance) {
+    return phaseNeeds ? phaseNeeds(q.asked.id, phase, parts, chance)
+                      : latencies_.allIn(q.asked.cls, phase, parts, chance, now_);
+  };
+}
+
+// Of the present step, whose parts are there.
+StepTerms Ledger::terms(const Query& q) const {
+  const int phase = q.step - 1;
+  const std::size_t parts = q.parts.size() - q.stepBegin;
+  const phases::Plan& plan = *q.asked.plan;
+  const phases::Times t = times(q);
+  const Micros by = phase == 0 ? phases::firstBy(plan, parts, t, needs(q)) : phases::secondBy(t);
+  double asked = 0;
+  for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k) asked += q.parts[k].weight;
+  return {std::max<Micros>(1, by - now_), phases::leastOf(plan, phase) * asked,
+          phase == 1 && plan.phases[1].maySkip};
+}
+
+void Ledger::toJudge(Handle h, Query& q) {
+  if (std::exchange(q.phased->queued, true)) return;
+  toJudge_.push_back(h);
+}
+
+// What was not waited for would have taken longer still.
+void Ledger::learnCutOff(const Query& q) {
+  for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k)
+    if (!q.parts[k].done && !q.parts[k].tries.empty())
+      latencies_.add(q.asked.cls, q.step - 1, now_ - q.phased->stepBegun, now_, true);
+}
+
+// The one place where a phase ends.
+void Ledger::judge(Handle h) {
+  Query* q = queries_.get(h);
+  if (!q || q->ended) return;
+  Phased& phased = *q->phased;
+  phased.queued = false;
+  agenda_.drop(phased.look);
+  const phases::Plan& plan = *q->asked.plan;
+  const phases::Sight sight{q->step - 1, seen(*q), phased.stuck};
+  const phases::Step step = phases::next(plan, sight, times(*q), needs(*q));
+  using Kind = phases::Step::Kind;
+  if (step.kind == Kind::wait && !phased.stuck) {
+    if (step.at < phases::kNever) phased.look = agenda_.add(step.at, {Due::Kind::phase, h});
+    return;
+  }
+  learnCutOff(*q);
+  if (q->step == 1) {
+    phased.account.firstEnds(plan, sight.parts, step);
+    if (step.how == phases::Step::How::early) count(Count::firstsEarly);
+    if (step.second == phases::Step::Second::skipped) count(Count::secondsSkipped);
+  } else {
+    phased.account.secondEnds(sight.parts, step);
+    if (step.second == phases::Step::Second::failed) count(Count::secondsFailed);
+  }
+  if (step.kind == Kind::second) {
+    const bool cut = step.second == phases::Step::Second::cut;
+    count(cut ? Count::secondsCut : Count::secondsWhole);
+    phased.stuck = false;
+    phased.stepBegun = now_;
+    if (!plan.phases[1].text.empty()) q->text = std::make_shared<const std::string>(plan.phases[1].text);
+    beginStep(h, *q, step.ask, sight.parts.size() == std::size_t(phased.account.phases[0].in));
+    return toJudge(h, *q);
+  }
+  FinalAnswer answer;  // failed: the module has nothing more to come, and what is in is no answer
+  if (step.kind == Kind::answer) {
+    const std::size_t from = step.fromSecond ? q->stepBegin : 0;
+    answer =
+        served(*q, from, step.fromSecond ? q->parts.size() : phased.firstParts, phased.account.exact(plan));
+    answer.account = std::make_shared<const phases::Account>(phased.account);
+  } else {
+    count(Count::failed);
+  }
+  push(ClientGone{q->asked.id});
+  finish(h, std::move(answer));
 }
 
 // The one place where an attempt ends.
@@ -235,6 +373,11 @@
   if (outcome == Outcome::done && !part.done && !q->ended && was.part >= q->stepBegin) {
     part.done = true;
     --held_;  // what is in is held no longer: to count it refuses queries that there is room for
+    part.server = was.server;
+    if (q->phased) {
+      latencies_.add(q->asked.cls, q->step - 1, now_ - q->phased->stepBegun, now_);
+      toJudge(was.query, *q);
+    }
     part.score = answer.score;
     part.value = std::move(answer.value);
     part.reply = std::move(answer.reply);
@@ -256,6 +399,7 @@
   }
   q.ended = true;
   agenda_.drop(q.backstop);
+  if (q.phased) agenda_.drop(q.phased->look);
   std::vector<Handle> kept;
   for (Part& p : q.parts) {
     p.reply.reset();
@@ -297,6 +441,10 @@
   while (const std::optional<Due> due = agenda_.takeDue(now_, mark)) {
     if (due->kind == Due::Kind::backstop) {
       giveUpLate(due->of);
+    } else if (due->kind == Due::Kind::phase) {
+      Query* q = queries_.get(due->of);
+      q->phased->look.reset();
+      toJudge(due->of, *q);
     } else if (Attempt* attempt = attempts_.get(due->of)) {
       attempt->timeout.reset();
       commands_.push_back(GiveUp{due->of});
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -9,6 +9,7 @@
 
 #include <cometdeal/aggregator.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,8 @@
 #include "agenda.hpp"
 #include "counters.hpp"
 #include "digest.hpp"
+#include "phases/latency.hpp"
+#include "phases/steps.hpp"
 #include "seam.hpp"
 #include "slots.hpp"
 
@@ -64,9 +67,10 @@
   void at(Micros now) { now_ = now; }
   std::vector<Command> take() { return std::exchange(commands_, {}); }
   bool quiet() const { return commands_.empty(); }
-  // What the module has not heard yet, with the time that queries have left.
+  // What the module has not heard yet, with the time that queries have left. Queries in phases are looked at
+  // first, so that the module hears of a next phase in the turn that ended the one before.
   std::vector<Event> takeEvents();
-  bool hasEvents() const { return !events_.empty(); }
+  bool hasEvents() const { return !events_.empty() || !toJudge_.empty(); }
   template <typename E>
   void push(E event) {
     events_.emplace_back(std::move(event));
@@ -88,6 +92,10 @@
 
   std::size_t open() const { return openQueries_; }
 
+  // In place of what has been learned of phases, for experiments: see phases::Needs.
+  std::function<std::optional<Micros>(const std::string& query, int phase, std::size_t parts, double chance)>
+      phaseNeeds;
+
   // For the checker.
   struct Sight {
     struct Part {
@@ -113,7 +121,7 @@
 
  private:
   struct Due {
-    enum class Kind : std::uint8_t { timeout, backstop } kind = Kind::timeout;
+    enum class Kind : std::uint8_t { timeout, backstop, phase } kind = Kind::timeout;
     Handle of;
   };
   struct Try {
@@ -128,9 +136,19 @@
     bool done = false;
     long double score = 0;
     std::string value;
+    std::string server;  // that answered
     std::shared_ptr<FlowReader> reply;
     std::vector<Try> tries;
   };
+  // Of a query in phases. Its steps end in judge().
+  struct Phased {
+    Micros begun = 0, aim = 0, stepBegun = 0;
+    bool stuck = false;   // the module says that nothing more comes of the present phase
+    bool queued = false;  // in toJudge_
+    std::size_t firstParts = 0;
+    phases::Account account;
+    std::optional<Agenda<Due>::Key> look;
+  };
   struct Query {
     NewQuery asked;
     std::shared_ptr<const std::string> text;
@@ -142,6 +160,7 @@
     std::vector<Part> parts;
     int triesOut = 0;
     std::optional<Agenda<Due>::Key> backstop;
+    std::optional<Phased> phased;
   };
   struct Attempt {
     Handle query;
@@ -158,6 +177,15 @@
   bool mayTry(const Query& q, const Part& part) const;
   Micros repeatsUntil(const Query& q, const Part& part) const;
   void beginSecondStep(Handle h, Query& q, bool whole);
+  void beginStep(Handle h, Query& q, const std::vector<std::size_t>& ask, bool whole);
+  std::vector<phases::Seen> seen(const Query& q) const;  // the present step
+  phases::Times times(const Query& q) const;
+  phases::Needs needs(const Query& q) const;
+  StepTerms terms(const Query& q) const;
+  void toJudge(Handle h, Query& q);
+  void judge(Handle h);
+  void learnCutOff(const Query& q);
+  FinalAnswer served(Query& q, std::size_t from, std::size_t to, bool whole);
   void finish(Handle h, FinalAnswer answer, bool tell = true);
   void settle(Handle h);
   void giveUpLate(Handle h);
@@ -181,6 +209,8 @@
   std::int64_t lastGroup_ = 0;
   std::size_t openQueries_ = 0;
   int held_ = 0;  // queries and parts, for maxOpen
+  std::vector<Handle> toJudge_;
+  phases::Latencies latencies_;
 };
 
 // Carries out what the ledger asks for, until it asks for nothing more.
--- a/src/core/mixer.cpp
+++ b/src/core/mixer.cpp
@@ -107,7 +107,7 @@
   const Micros began = loop_.now();
   ledger_.at(began);
   const std::vector<Event> events = ledger_.takeEvents();
-  if (events.empty()) return;
+  if (events.empty()) return settle();
   counters_.add(Count::turns);
   for (const Action& action : module_.react(began, events))
     std::visit([this](const auto& a) { act(a); }, action);
--- a/src/core/seam.hpp
+++ b/src/core/seam.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "flow.hpp"
+#include "phases/account.hpp"
 #include "settings.hpp"
 #include "slots.hpp"
 
@@ -31,6 +32,9 @@
   std::vector<QueryPart> parts;
   std::string text;
   std::shared_ptr<Exchange> exchange;  // in place of text, where it or the answer comes in pieces
+  // In phases; none: one step, or two as its class says. A text of the first phase's own is not put in
+  // `text`.
+  std::shared_ptr<const phases::Plan> plan;
 };
 struct Row {
   int shard = 0;
@@ -43,7 +47,8 @@
   bool whole = false;
   std::vector<Row> rows;
   std::optional<Micros> retryAfter;
-  bool mayHaveRun = false;  // some attempt of it
+  bool mayHaveRun = false;                         // some attempt of it
+  std::shared_ptr<const phases::Account> account;  // of a query in phases that is served
 };
 
 // ---- Leaf sides ------------------------------------------------------------------------------------------
--- a/src/core/settings.hpp
+++ b/src/core/settings.hpp
@@ -4,9 +4,12 @@
 
 #include <cometdeal/aggregator.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "phases/plan.hpp"
+
 namespace cometdeal::net {
 
 struct Address {
@@ -15,6 +18,12 @@
   bool operator==(const Address&) const = default;
 };
 
+// Plans in phases, where the installation has them.
+struct QueryPlans {
+  std::vector<std::shared_ptr<const phases::Plan>> ofClass;  // none: the class's settings say all
+  bool inQueries = false;                                    // a query may bring its own
+};
+
 // The settings' part that the host itself keeps to; the rest is the module's.
 struct HostSettings {
   std::vector<std::string> zones, classNames;
@@ -23,6 +32,8 @@
   int streams = 1;             // parts that one connection to a leaf server carries at once
   Micros connectTimeout = 0;   // a connection that has not come up by then has failed
   bool mayRetryAfter = false;  // a refusal may say when to come back
+  QueryPlans plans;
+  std::vector<double> classNeed, classFloor;  // see ClassSettings; what a plan is held to
 };
 
 struct LeafEntry {
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -8,7 +8,9 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "config/json.hpp"
 #include "core/log.hpp"
+#include "phases/read.hpp"
 
 namespace cometdeal::net {
 namespace {
@@ -57,10 +59,36 @@
   const auto& text = tag.get_ref<const std::string&>();
   return text.size() == 16 && std::ranges::all_of(text, [](unsigned char c) { return std::isxdigit(c); });
 }
-ReadQuery bad(const char* why, int status = 400) {
+ReadQuery bad(std::string why, int status = 400) {
   ReadQuery out;
   out.status = status;
-  out.why = why;
+  out.why = std::move(why);
+  return out;
+}
+
+// What an answer in phases rests on. Pruned, cut and missing are told apart: left out by the plan, for lack
+// of time, and against all intention.
+Json writeAccount(const phases::Account& account) {
+  static constexpr const char* hows[] = {"whole", "early", "late", "stuck"};
+  static constexpr const char* seconds[] = {"none", "whole", "cut", "skipped", "failed"};
+  const auto share = [](double weight) { return std::round(weight * 1e6) / 1e6; };
+  Json out = Json::array();
+  for (const phases::PhaseAccount& p : account.phases) {
+    Json one{{"asked", p.asked},
+             {"in", p.in},
+             {"missing", p.asked - p.in},
+             {"weight_asked", share(p.weightAsked)},
+             {"weight_in", share(p.weightIn)},
+             {"ended", hows[std::size_t(p.how)]}};
+    if (!out.empty()) {
+      one["ran"] = seconds[std::size_t(account.second)];
+      one["pruned"] = p.pruned, one["weight_pruned"] = share(p.weightPruned);
+      one["nothing"] = p.nothing, one["weight_nothing"] = share(p.weightNothing);
+      one["cut"] = p.cut, one["weight_cut"] = share(p.weightCut);
+      if (p.asked == 0) one.erase("ended");
+    }
+    out.push_back(std::move(one));
+  }
   return out;
 }
 
@@ -125,6 +153,14 @@
     q.parts.push_back({int(number), w});
   }
   if (std::abs(sum - 1.0) > kWeightsOff) return bad("the weights do not add up to 1");
+  if (!host.plans.ofClass.empty()) q.plan = host.plans.ofClass[std::size_t(q.cls)];
+  if (const auto plan = body.find("phases"); plan != body.end() && host.plans.inQueries) try {
+      q.plan = std::make_shared<const phases::Plan>(phases::readPlan(StrictJson("phases", *plan),
+                                                                     host.classNeed[std::size_t(q.cls)],
+                                                                     host.classFloor[std::size_t(q.cls)]));
+    } catch (const BadConfig& problem) {
+      return bad(problem.what());
+    }
   return out;
 }
 
@@ -141,7 +177,8 @@
   }
   Json rows = Json::array();
   for (const Row& row : answer.rows) rows.push_back({{"id", row.shard}, {"data", row.value}});
-  const Json body = {{"exact", answer.whole}, {"rows", std::move(rows)}};
+  Json body = {{"exact", answer.whole}, {"rows", std::move(rows)}};
+  if (answer.account) body["phases"] = writeAccount(*answer.account);
   return writeResponse(200, "", body.dump(-1, ' ', false, Json::error_handler_t::replace), close);
 }
 
@@ -407,7 +444,7 @@
     read = {400, "X-Request-ID is in use", {}};
   }
   counters_.add(Count::badRequests);
-  logLine("request turned away: %s", read.why);
+  logLine("request turned away: %s", read.why.c_str());
   c.keep = false;
   const Json body = {{"error", read.why}};
   respond(c, writeResponse(read.status, "", body.dump(), true));
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -20,7 +20,7 @@
 // What a request asks for, or the status to turn it away with.
 struct ReadQuery {
   int status = 0;  // 0: the query is good
-  const char* why = "";
+  std::string why;
   NewQuery query;
 };
 ReadQuery readQuery(const HttpMessage& request, const HostSettings& host, Micros receivedAt);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,6 +18,7 @@
 #include "membership/discovery.hpp"
 
 #ifdef COMETDEAL_GRPC
+#include "config/plans.hpp"
 #include "front/grpc/server.hpp"
 #include "leaf/grpc/channels.hpp"
 #include "leaf/sides.hpp"
@@ -43,6 +44,11 @@
 }
 
 #ifdef COMETDEAL_GRPC
+void readPlans(Config& config) {
+  if (config.plansFile.empty()) return;
+  config.host.plans = readPlansFile(config.plansFile, config.host.classNames, config.settings.classes);
+}
+
 // gRPC in and out, where the configuration names a file for it.
 struct Grpc {
   grpc::Config config;
@@ -73,7 +79,10 @@
   }
 };
 #else
-// The same, in a build without gRPC: a configuration that asks for it is not served in silence.
+// The same, in a build without gRPC and YAML: a configuration that asks for it is not served in silence.
+void readPlans(const Config& config) {
+  if (!config.plansFile.empty()) throw BadConfig("'plans' is set, but this program was built without YAML");
+}
 struct Grpc {
   struct Nothing {
     void drain(Micros) {}
@@ -93,7 +102,8 @@
 // `reload` holds a SIGHUP from before the configuration was read: it must be neither lost nor end the
 // program.
 int serve(Loop& loop, boost::asio::signal_set& reload, const char* path) {
-  const Config config = readConfigFile(path);
+  Config config = readConfigFile(path);
+  readPlans(config);
   Counters counters;
   const int sockets = descriptors(config.sockets);
   const int forLeaves = std::min(kForLeaves, sockets / 3);
--- a/src/standin/frame_leaf.hpp
+++ b/src/standin/frame_leaf.hpp
@@ -20,8 +20,8 @@
   struct Part {  // as it came
     std::string id, list, text;
     int shard = 0;
-    bool fetch = false;         // of a second step
-    std::string from;           // of a second step: the shards that were in
+    bool fetch = false;    // of a second step
+    std::string from;      // of a second step: the shards that were in
     Micros at = 0;         // on the loop's clock
     Micros cancelled = 0;  // when it was given up; 0: not
     bool answered = false;
--- /dev/null
+++ b/src/tool/lab.hpp
@@ -0,0 +1,11 @@
+// `cometdeal lab`: experiments in the emulator, with tables, CSV and plots.
+#pragma once
+
+#include <CLI/App.hpp>
+
+namespace cometdeal::tool {
+
+// Adds the command. `status` becomes 1 if an answer broke what must hold.
+void addLab(CLI::App& app, int& status);
+
+}  // namespace cometdeal::tool
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -4,12 +4,14 @@
 #include <exception>
 
 #include "check.hpp"
+#include "lab.hpp"
 
 int main(int argc, char** argv) {
   CLI::App app("cometdeal: a mixer (query aggregator) and what goes with it", "cometdeal");
   app.require_subcommand(1);
   int status = 0;
   cometdeal::tool::addCheck(app, status);
+  cometdeal::tool::addLab(app, status);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& problem) {
