--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -1,7 +1,7 @@
 // Plays one scenario against the program: starts it with scripted peers on loopback, then goes through the
-// lines. A name stands for a connection or a listener; text knows \r \n \\ and $NAME (a listener's address);
-// a pattern is text in which * stands for anything. Nothing here is timed but `wait`: what is expected may
-// take its time.
+// lines. A name stands for a connection or a listener; text knows \r \n \\ and $NAME (a listener's address;
+// $SCENARIOS: this folder); a pattern is text in which * stands for anything. Nothing here is timed but
+// `wait`: what is expected may take its time.
 //
 //   leaf NAME CELL                   a listener that the list as last held names as a ready leaf server
 //   absent NAME CELL                 the same, but nothing listens there
@@ -334,6 +334,8 @@
   std::string line;
   int at = 0;
   openListener("D", true);
+  const std::string path = names[1];
+  addresses["SCENARIOS"] = path.substr(0, path.rfind('/'));
   while (std::getline(file, line)) {
     where = std::string(names[1]) + ":" + std::to_string(++at);
     play(line);
