Let the module end a query before the host does after a hold-up; check queries in phases

And the checker did not know queries in phases. Changed: the mixer's alarm lets the module have its turn first. The checker explores a query in two phases (size phases), with the property least-share and two planted faults, short-answer and look-after-end. Measured: the test heldUp holds a process up over both moments and fails without the change.

--- a/src/check/properties.hpp
+++ b/src/check/properties.hpp
@@ -29,10 +29,12 @@
                                   "An attempt that was handed out ends once, and its part hears of it."};
 inline constexpr Property kNoLeak{"no-leak",
                                   "When nothing is held, every slot, id and deadline is free again."};
+inline constexpr Property kLeastShare{
+    "least-share", "No answer from less than the least share, none marked whole that is not."};
 inline constexpr Property kNoDefect{"no-defect", "Legal actions of the module bring about no defect."};
 
-inline constexpr std::array<Property, 11> kProperties{kOneAnswer, kInTime, kNothingAfter, kAttempts,
-                                                      kWindow,    kDrain,  kWritten,      kOwnValue,
-                                                      kOneEnd,    kNoLeak, kNoDefect};
+inline constexpr std::array<Property, 12> kProperties{kLeastShare, kOneAnswer, kInTime, kNothingAfter,
+                                                      kAttempts,   kWindow,    kDrain,  kWritten,
+                                                      kOwnValue,   kOneEnd,    kNoLeak, kNoDefect};
 
 }  // namespace cometdeal::check
--- a/src/check/world.cpp
+++ b/src/check/world.cpp
@@ -45,6 +45,19 @@
   return writeFrame('O', part + " " + end + " 7 -\nvalue of " + part);
 }
 
+// Half of the first phase is enough to go on from, and to answer where the second comes to nothing.
+std::shared_ptr<const phases::Plan> plan() {
+  static const auto out = [] {
+    auto made = std::make_shared<phases::Plan>();
+    made->phases.resize(2);
+    made->phases[0].least = 0.5;
+    made->phases[1].prune.most = 1;
+    made->phases[1].prune.lossless = true;
+    return std::shared_ptr<const phases::Plan>(std::move(made));
+  }();
+  return out;
+}
+
 // A query's number from a part's id, "q1.0" or "q1.0.fetch".
 int queryOf(const std::string& part) { return part[1] - '0'; }
 
@@ -82,6 +95,10 @@
       queries_(std::size_t(scope.queries)),
       servers_(std::size_t(scope.servers), ServerState::serving),
       since_(std::size_t(scope.servers), 0) {
+  // A constant in place of what is learned, so that no such times are part of the state.
+  ledger_.phaseNeeds = [](const std::string&, int, std::size_t, double) {
+    return std::optional<Micros>(kTick);
+  };
   begin();
   for (int k = 0; k < scope.servers; ++k) member(k, ServerState::serving, 0);
   settle();
@@ -170,7 +187,7 @@
           if (!sentAny && trips_.empty()) break;  // servers are alike until one is used
         }
       }
-      if (whole) add(Kind::answer, at);
+      if (whole || (at == 0 && scope_->phases)) add(Kind::answer, at);
     }
     return out;
   }
@@ -238,6 +255,7 @@
       q.id = "q" + std::to_string(step.a);
       q.cls = step.a == 0 && scope_->keyed ? 1 : step.a == 0 && scope_->secondStep ? 2 : 0;
       if (q.cls == 1) q.idempotencyKey = "k";
+      if (step.a == 0 && scope_->phases) q.cls = 0, q.plan = plan();
       q.until = kStart + scope_->ticks * kTick;
       for (int p = 0; p < scope_->parts; ++p) q.parts.push_back({p, 1.0 / scope_->parts});
       q.text = "t";
@@ -504,6 +522,21 @@
   Watch& q = queries_[at];
   if (q.gone) return;  // nobody is told
   if (++q.finals > 1) breaks(kOneAnswer.name, "q" + std::to_string(at) + " is answered again");
+  if (answer.account) {
+    const phases::PhaseAccount& first = answer.account->phases[0];
+    const phases::PhaseAccount* second =
+        answer.account->phases.size() > 1 && answer.account->phases[1].asked > 0 ? &answer.account->phases[1]
+                                                                                 : nullptr;
+    // By the rows, not by what the account says of itself.
+    const bool fromSecond = answer.account->second == phases::Step::Second::whole ||
+                            answer.account->second == phases::Step::Second::cut;
+    const int rows = int(answer.rows.size()), least = fromSecond ? second->asked : (first.asked + 1) / 2;
+    if (rows < least)
+      breaks(kLeastShare.name, "q" + std::to_string(at) + " is answered from " + std::to_string(rows) +
+                                   " parts, its least is " + std::to_string(least));
+    if (answer.whole && (first.in < first.asked || !fromSecond || rows < second->asked))
+      breaks(kLeastShare.name, "q" + std::to_string(at) + " is marked whole and is not");
+  }
   for (const Row& row : answer.rows) {
     const std::string id = partName(int(at), row.shard);
     if (row.value != "value of " + id && row.value != "value of " + id + ".fetch")
--- a/src/check/world.hpp
+++ b/src/check/world.hpp
@@ -26,6 +26,7 @@
   int ticks = 3;                          // steps of time; a client's time ends at the last
   int actions = 2;                        // of the module in one turn
   bool keyed = true, secondStep = false;  // query 0 is keyed | of a class with a second step
+  bool phases = false;                    // query 0 is in two phases, the second of which may be skipped
 };
 
 enum class Kind : std::uint8_t {
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -320,7 +320,9 @@
   agenda_.drop(phased.look);
   const phases::Plan& plan = *q->asked.plan;
   const phases::Sight sight{q->step - 1, seen(*q), phased.stuck};
-  const phases::Step step = phases::next(plan, sight, times(*q), needs(*q));
+  phases::Step step = phases::next(plan, sight, times(*q), needs(*q));
+  if (PLANTED(shortAnswer) && phased.stuck && step.kind == phases::Step::Kind::stay)
+    step.kind = phases::Step::Kind::answer;
   using Kind = phases::Step::Kind;
   if (step.kind == Kind::wait && !phased.stuck) {
     if (step.at < phases::kNever) phased.look = agenda_.add(step.at, {Due::Kind::phase, h});
@@ -399,7 +401,7 @@
   }
   q.ended = true;
   agenda_.drop(q.backstop);
-  if (q.phased) agenda_.drop(q.phased->look);
+  if (q.phased && !PLANTED(lookAfterEnd)) agenda_.drop(q.phased->look);
   std::vector<Handle> kept;
   for (Part& p : q.parts) {
     p.reply.reset();
@@ -443,6 +445,7 @@
       giveUpLate(due->of);
     } else if (due->kind == Due::Kind::phase) {
       Query* q = queries_.get(due->of);
+      if (!q || q->ended) continue;
       q->phased->look.reset();
       toJudge(due->of, *q);
     } else if (Attempt* attempt = attempts_.get(due->of)) {
@@ -507,6 +510,10 @@
   for (const Handle h : queries_.all()) {
     const Query& q = *queries_.get(h);
     to << q.asked.id << q.asked.cls << q.ended << q.step << q.firstWhole << q.from;
+    if (q.phased) {
+      to << q.phased->stuck << q.phased->queued;
+      for (const phases::PhaseAccount& p : q.phased->account.phases) to << p.asked << p.in;
+    }
     for (const Part& p : q.parts) {
       to << p.id << p.done << p.value << std::uint32_t(p.tries.size());
       for (const Try& t : p.tries) {
--- a/src/core/mixer.cpp
+++ b/src/core/mixer.cpp
@@ -21,6 +21,10 @@
       ledger_(rules_, &counters),
       alarm_(loop,
              [this] {
+               // Where the process was held up, the module's own time to end a query is over too: it goes
+               // first.
+               ledger_.push(TimerFired{});
+               turn();
                now().sweep();
                settle();
              }),
--- a/src/core/plant.hpp
+++ b/src/core/plant.hpp
@@ -18,6 +18,8 @@
   foreignValue,          // an answer counts for the first attempt on its connection, whatever its id
   leakOnWithdraw,        // an attempt taken back in its own turn is still counted as out
   lateBackstop,          // nothing ends a query that the module left open
+  shortAnswer,           // a phase that can come no further is answered from whatever is in
+  lookAfterEnd,          // a query in phases keeps its next look when it ends
 };
 
 #ifdef COMETDEAL_PLANTS
--- a/src/tool/check.cpp
+++ b/src/tool/check.cpp
@@ -46,6 +46,9 @@
      "own-value"},
     {"leak-on-withdraw", Plant::leakOnWithdraw,
      "an attempt taken back in its own turn is still counted as out", "no-leak"},
+    {"short-answer", Plant::shortAnswer, "a phase that can come no further is answered from whatever is in",
+     "least-share"},
+    {"look-after-end", Plant::lookAfterEnd, "a query in phases keeps its next look when it ends", "no-leak"},
     {"late-backstop", Plant::lateBackstop, "nothing ends a query that the module leaves open", "in-time"},
 };
 
@@ -53,6 +56,7 @@
     {"tiny", {1, 1, 2, 2, 2, 2, 1, 2, 2, true, false}},
     {"small", {1, 2, 2, 2, 3, 3, 1, 2, 2, true, false}},
     {"medium", {2, 2, 2, 2, 3, 3, 1, 2, 1, true, false}},
+    {"phases", {1, 2, 2, 2, 2, 4, 1, 3, 2, false, false, true}},
     {"large", {2, 2, 2, 2, 3, 6, 2, 3, 2, true, false}},
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -11,6 +11,7 @@
 #include "config/config.hpp"
 #include "core/deadlines.hpp"
 #include "core/ledger.hpp"
+#include "core/mixer.hpp"
 #include "core/slots.hpp"
 #include "front/http/clients.hpp"
 #include "http/http.hpp"
@@ -656,6 +657,48 @@
   assert(std::abs(liveAllocations - held) < 50);
 }
 
+// Holds a process up over the moments at which the module was to end a query and at which the host would: the
+// module goes first, and its answer counts.
+void heldUp() {
+  struct Silent : LeafSide {
+    void update(const LeafEntry&) override {}
+    void keepOnly(const std::vector<LeafEntry>&) override {}
+    void send(const std::string&, std::vector<Call>) override {}
+    void giveUp(Handle) override {}
+    void withdraw(Handle) override {}
+    void forget(const std::string&) override {}
+    void closeIdle(const std::string&) override {}
+  } side;
+  Loop loop;
+  Counters counters;
+  Settings set;
+  set.classes.resize(1);
+  set.classes[0].aim = set.classes[0].deadline = 200'000;
+  set.classes[0].lateShare = 1;
+  set.tick = 5'000;
+  HostSettings host;
+  host.classKeyed = {false};
+  Mixer mixer(loop, counters, side, set, host, 7);
+  LeafList list;
+  list.whole = true;
+  list.entries.push_back({"s", {"127.0.0.1", 9}, 0, 0, ServerState::serving, 0});
+  mixer.list(list, ListKind::complete);
+  int answers = 0;
+  NewQuery query;
+  query.id = "q";
+  query.until = loop.now() + 200'000;
+  query.parts = {{0, 1.0}};
+  Handle h;
+  mixer.submit(
+      query, [&](const FinalAnswer& answer) { answers += answer.kind == FinalAnswer::Kind::refused; }, h);
+  loop.io.run_for(std::chrono::milliseconds(50));
+  std::this_thread::sleep_until(
+      std::chrono::steady_clock::time_point(std::chrono::microseconds(query.until - 2'000)));
+  loop.io.restart();
+  loop.io.run_for(std::chrono::milliseconds(100));
+  assert(answers == 1 && counters.of(Count::backstops) == 0 && counters.of(Count::defects) == 0);
+}
+
 }  // namespace
 
 int main() {
@@ -679,5 +722,6 @@
   repeats();
   roomForAnother();
   memory();
+  heldUp();
   std::puts("all passed");
 }
--- a/tests/plants.sh
+++ b/tests/plants.sh
@@ -4,7 +4,7 @@
 tool=$1 failed=0 count=0
 while read -r name property; do
   count=$((count + 1))
-  for size in tiny small; do
+  for size in tiny small phases; do
     out=$("$tool" check --size "$size" --plant "$name" --states 110000 --quiet)
     status=$?
     [ $status -eq 1 ] && break
