--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -60,7 +60,7 @@
     // Of a later try of a client only what is left is known: its aim counts from the first.
     const Micros left = q.asked.until - now_;
     const Micros spent = q.asked.repeated ? std::max<Micros>(0, cls.deadline - left) : 0;
-    q.phased.emplace();
+    q.phased = Phased{};
     q.phased->begun = q.phased->stepBegun = now_;
     q.phased->aim = now_ + std::max<Micros>(0, cls.aim - spent);
     q.phased->firstParts = q.asked.parts.size();
--- a/src/phases/steps.cpp
+++ b/src/phases/steps.cpp
@@ -6,15 +6,18 @@
 namespace {
 
 constexpr double kSlack = 1e-6;  // sums of weights are rounded
-// A phase is taken to fit with such a chance. In the emulator 0.95, which ends first phases early and cuts second
-// ones the sooner, is worse at all loads but those over 1 (docs/phases.md).
+// A phase is taken to fit with such a chance. In the emulator 0.95, which ends first phases early and cuts
+// second ones the sooner, is worse at all loads but those over 1 (docs/phases.md).
 constexpr double kLikely = 0.8, kEven = 0.5;
 // What ends at a moment is looked at a little later: without this every phase that ends early would leave the
 // next one just short of its time.
 constexpr Micros kPunctual = 5'000;
 
 // While an answer within the aim can still be had it is what counts; later the end of the client's time.
-Micros endOf(const Times& t) { return (t.now + t.margin < t.aim ? t.aim : t.until) - t.margin; }
+Micros endOf(const Times& t) { return (t.now + t.margin <= t.aim ? t.aim : t.until) - t.margin; }
+// What is looked at by then still goes out within the aim, or within the client's time.
+Micros aimDue(const Times& t) { return t.aim - t.margin - kPunctual; }
+Micros lastDue(const Times& t) { return t.until - t.margin - kPunctual; }
 
 // A phase of which nothing is known takes what its plan claims.
 Micros need(const Plan& plan, int phase, std::size_t parts, double chance, const Times& t,
@@ -34,8 +37,8 @@
   }
   return in > 0 ? in / asked : 0;
 }
-// Later an end that has passed changes nothing any more.
-Micros lookAgain(Micros end, const Times& t) { return end > t.now ? end : kNever; }
+// A moment that has passed changes nothing any more.
+Micros ahead(Micros due, const Times& t) { return due > t.now ? due : kNever; }
 bool allIn(const std::vector<Seen>& parts) {
   return std::ranges::all_of(parts, [](const Seen& p) { return p.in; });
 }
@@ -77,30 +80,26 @@
 Step first(const Plan& plan, const Sight& sight, const Times& t, const Needs& needs) {
   const Phase& phase = plan.phases[0];
   const double in = shareIn(sight.parts);
-  const Micros end = endOf(t);
   Step out;
   if (allIn(sight.parts) || in >= std::max(phase.whole, leastOf(plan, 0)) - kSlack) {
     if (plan.two()) return goOn(plan, sight, t, needs, Step::How::whole);
     out.kind = Step::Kind::answer;
     return out;
   }
-  const bool enough = in >= leastOf(plan, 0) - kSlack;
-  // The second phase needs its time: with the least share in, the first ends ahead of what is still out.
-  Micros by = end;
-  if (enough && plan.two())
-    by -= kPunctual + need(plan, 1, pick(plan.phases[1], sight.parts).keep.size(), kLikely, t, needs);
-  if (!enough) {
+  if (in < leastOf(plan, 0) - kSlack) {
     // Nothing can be done with less: the client's time is all that ends it.
     out.kind = sight.stuck ? Step::Kind::stay : Step::Kind::wait;
-    out.at = lookAgain(end, t);
+    out.at = ahead(lastDue(t), t);
     return out;
   }
+  // With the least share in the first phase ends when the second needs its time.
+  Micros by = aimDue(t);
+  if (plan.two()) by -= need(plan, 1, pick(plan.phases[1], sight.parts).keep.size(), kLikely, t, needs);
   if (!sight.stuck && t.now < by) {
     out.at = by;
     return out;
   }
-  const Step::How how = sight.stuck ? Step::How::stuck : Step::How::early;
-  if (plan.two()) return goOn(plan, sight, t, needs, how);
+  if (plan.two()) return goOn(plan, sight, t, needs, sight.stuck ? Step::How::stuck : Step::How::early);
   out.kind = Step::Kind::answer;
   out.how = sight.stuck ? Step::How::stuck : Step::How::late;
   return out;
@@ -109,7 +108,7 @@
 Step last(const Plan& plan, const Sight& sight, const Times& t) {
   const Phase& phase = plan.phases[1];
   const double in = shareIn(sight.parts);
-  const Micros end = endOf(t);
+  const bool enough = in > 0 && in >= phase.least - kSlack;
   Step out;
   out.fromSecond = true;
   out.second = Step::Second::whole;
@@ -117,18 +116,18 @@
     out.kind = Step::Kind::answer;
     return out;
   }
-  if (!sight.stuck && t.now < end) {
-    out.at = end;
+  // What is enough, or has the first phase's answer to fall back on, is answered within the aim; what is late
+  // already, at once.
+  const bool answerable = enough || phase.maySkip;
+  if (!sight.stuck && (t.now < aimDue(t) || !answerable)) {
+    out.at = ahead(answerable ? aimDue(t) : lastDue(t), t);
     return out;
   }
+  out.kind = answerable ? Step::Kind::answer : Step::Kind::stay;
   out.how = sight.stuck ? Step::How::stuck : Step::How::late;
-  out.kind = Step::Kind::answer;
-  if (in > 0 && in >= phase.least - kSlack) return out;
+  if (enough) return out;
   out.fromSecond = false;
   out.second = Step::Second::failed;
-  if (phase.maySkip) return out;
-  out.kind = sight.stuck ? Step::Kind::stay : Step::Kind::wait;
-  out.at = lookAgain(end, t);
   return out;
 }
 
@@ -145,7 +144,7 @@
   return std::max(least, end - need(plan, 1, asks, kLikely, t, needs));
 }
 
-Micros secondBy(const Times& t) { return endOf(t); }
+Micros secondBy(const Times& t) { return t.now < aimDue(t) ? aimDue(t) : lastDue(t); }
 
 double leastOf(const Plan& plan, int phase) {
   if (phase == 1) return plan.phases[1].least;
