--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -272,9 +272,9 @@
       if (ledger.hasEvents()) want();
     }
     // As the leaf side of carryOut.
-    void send(const std::string& server, std::vector<Call> calls) {
+    void send(const std::string& server, const std::vector<Call>& calls) {
       const std::size_t leaf = std::size_t(std::stoi(server.substr(1)) - 100);
-      for (Call& call : calls) w.send(*this, leaf, std::move(call));
+      for (const Call& call : calls) w.send(*this, leaf, call);
     }
     void giveUp(Handle) {}  // a cancel stops nothing that runs
     void withdraw(Handle) {}
@@ -334,12 +334,13 @@
   }
   std::vector<std::size_t> holders(int shard) const {
     std::vector<std::size_t> out;
+    out.reserve(std::size_t(model_.reach));
     for (int back = 0; back < model_.reach; ++back)
       out.push_back(std::size_t((shard + back) % model_.leaves));
     return out;
   }
 
-  void send(Mixer& m, std::size_t leaf, Call call) {
+  void send(Mixer& m, std::size_t leaf, const Call& call) {
     ++sends_;
     partsSent_ += call.number == 0;
     const bool fetch = call.id.ends_with(".fetch");
@@ -371,6 +372,7 @@
   Micros foretell(const std::string& query, int phase, std::size_t parts) const {
     const Asked& asked = asked_.at(query);
     std::vector<int> shards;
+    shards.reserve(std::size_t(asked.parts));
     for (int k = 0; k < asked.parts; ++k) shards.push_back((asked.firstShard + k) % model_.leaves);
     std::ranges::sort(shards, [&](int a, int b) { return scoreOf(query, a) > scoreOf(query, b); });
     if (shards.size() > parts) shards.resize(parts);
@@ -412,8 +414,8 @@
     const phases::Plan& plan = *model_.cls.plan;
     const phases::PhaseAccount& first = account.phases[0];
     if (first.weightIn < plan.phases[0].least - kSlack) ++report_.shortOfLeast;
-    if (answer.whole && (first.in < first.asked ||
-                         (plan.two() && account.second != phases::Step::Second::whole)))
+    if (answer.whole &&
+        (first.in < first.asked || (plan.two() && account.second != phases::Step::Second::whole)))
       ++report_.wronglyExact;
     double worth = first.weightIn * model_.cls.firstWorth;
     using Second = phases::Step::Second;
