Give a second phase without a text the query's own, not the first phase's

Need: read over once more, a plan whose first phase alone has a text sent that text in the second phase too, against docs/two-phases.md; and every query's text was copied where it used to be moved. Changed: the ledger keeps the query's text only where the first phase has one of its own. Two comments said the wrong thing.

--- a/src/config/plans.hpp
+++ b/src/config/plans.hpp
@@ -1,4 +1,4 @@
-// The YAML file with the classes' plans in two phases (docs/phases.md has every key).
+// The YAML file with the classes' plans in two phases (docs/two-phases.md has every key).
 #pragma once
 
 #include <cometdeal/aggregator.hpp>
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -39,7 +39,8 @@
   Query& q = *queries_.get(handle);
   q.asked = std::move(asked);
   const bool ownText = q.asked.plan && !q.asked.plan->phases[0].text.empty();
-  q.text = std::make_shared<const std::string>(ownText ? q.asked.plan->phases[0].text : q.asked.text);
+  q.text = ownText ? std::make_shared<const std::string>(q.asked.plan->phases[0].text)
+                   : std::make_shared<const std::string>(std::move(q.asked.text));
   q.group = ++lastGroup_;
   byId_[q.asked.id] = handle;
   ++openQueries_;
@@ -342,7 +343,10 @@
     count(cut ? Count::secondsCut : Count::secondsWhole);
     phased.stuck = false;
     phased.stepBegun = now_;
-    if (!plan.phases[1].text.empty()) q->text = std::make_shared<const std::string>(plan.phases[1].text);
+    if (!plan.phases[1].text.empty())
+      q->text = std::make_shared<const std::string>(plan.phases[1].text);
+    else if (!plan.phases[0].text.empty())  // the query's own was kept for this
+      q->text = std::make_shared<const std::string>(q->asked.text);
     beginStep(h, *q, step.ask, sight.parts.size() == std::size_t(phased.account.phases[0].in));
     return toJudge(h, *q);
   }
--- a/src/phases/steps.hpp
+++ b/src/phases/steps.hpp
@@ -2,8 +2,9 @@
 // how long parts usually take. The host carries it out; servers, copies and refusals are the decision
 // module's.
 //
-//   first phase:  wait -> (all in, or time for the second runs out with the least share in) -> second or
-//   answer second phase: wait -> (all in, or the time is up) -> answer from it, or from the first
+//   first phase:   wait -> (all in, or the second needs the rest of the time) -> the second, or an answer
+//
+//   second phase:  wait -> (all in, or the time is up) -> an answer from it, or from the first
 #pragma once
 
 #include <cometdeal/aggregator.hpp>
--- a/tests/phases_sockets.cpp
+++ b/tests/phases_sockets.cpp
@@ -402,6 +402,9 @@
   const auto got = w.one(query);
   assert(got.status == 200 && got.body["phases"][1]["asked"] == 2);
   for (const auto& p : w.seen("q1")) assert(p.text == (p.fetch ? "b" : "a"));
+  query.body = R"({"phases":[{"expr":"a"},{"prune":{"rule":"top","most":1}}]})";
+  assert(w.one(query).status == 200);  // without a text of its own the second phase has the query's
+  for (const auto& p : w.seen("q2")) assert(p.text == (p.fetch ? "t" : "a"));
   const auto single = w.one(World::planned());  // the class's plan has one phase
   assert(single.status == 200 && single.body["phases"].size() == 1 && single.body["exact"] == true);
   w.quiet();
