Serve through an upgrade: inherited listener, second address with check and vars

Ruled out: hang (no process lived to hang) and memory (0 MB). At fault: Clients::listen binds whatever the environment says; nothing read BALANCER_FD, admin or BALANCER_ADMIN. Changed: Clients::adopt checks and takes the descriptor; at SIGTERM it is released before it is closed (a plain close leaves it in the epoll set while another process holds the socket); idle clients are handed over; src/admin answers check and vars; ends are counted by class in the ledger, frames written whole in links. Rejected: to bind with SO_REUSEPORT, which would split the queue and lose what waits in the old process's part.

--- a/include/cometdeal/aggregator.hpp
+++ b/include/cometdeal/aggregator.hpp
@@ -178,6 +178,12 @@
   Aggregator(Aggregator&&) noexcept;
   Aggregator& operator=(Aggregator&&) noexcept;
 
+  // Servers on the list, and of these the ones that get nothing new but trials: draining, or in doubt.
+  struct Listed {
+    int all = 0, avoided = 0;
+  };
+  Listed listed() const;
+
   // Takes all that happened up to `now` in order of arrival; gives what to do, in the order to do it.
   std::vector<Action> react(Micros now, std::span<const Event> events);
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -306,16 +306,15 @@
     return std::max(0.1, double(t.median) / double(std::max<Micros>(1, pooled.median)));
   }
   void compareServers() {
-    double rate = 0.0;
+    doneTotal = 0.0;
     int warm = 0;
     for (const auto& [id, s] : servers) {
       if (s.state != ServerState::serving || s.doubted) continue;
       if (set.cold && now - s.coldSince < set.cold->warmAfter) continue;
-      rate += doneRate(s);
+      doneTotal += doneRate(s);
       ++warm;
     }
-    warmRate = rate / std::max(1, warm);
-    doneTotal = rate;
+    warmRate = doneTotal / std::max(1, warm);
   }
   // Few answers come from each server, so its own mean counts by how many there were lately, the peers' for
   // the rest; what is old is forgotten, or a server that looked slow once would never be asked again.
@@ -551,8 +550,7 @@
   }
   bool trustworthy(const Query& q, const Server& s) const {
     if (pathDoubted(s) && !(pathTrialDue(s) && mayTry(q))) return false;
-    if (!s.doubted) return true;
-    return trialDue(s) && mayTry(q);
+    return !s.doubted || (trialDue(s) && mayTry(q));
   }
   // First send: the key's home, or the least loaded holder when home is far above the shard's mean. Servers
   // in doubt count as absent unless every holder is.
@@ -602,13 +600,9 @@
   }
   bool effectAllows(const Query& q, const Part& p) const {
     const ClassSettings& cls = classOf(q);
-    if (p.attempts.empty() || cls.effect == Effect::safe) return true;
-    for (const Attempt& a : p.attempts) {
-      if (!a.mayHaveRun) continue;
-      if (cls.effect == Effect::unsafe) return false;
-      return now + set.tick < a.sentAt + cls.repeatWindow.value_or(0);
-    }
-    return true;
+    const auto ran = std::ranges::find(p.attempts, true, &Attempt::mayHaveRun);
+    if (cls.effect == Effect::safe || ran == p.attempts.end()) return true;
+    return cls.effect == Effect::keyed && now + set.tick < ran->sentAt + cls.repeatWindow.value_or(0);
   }
   bool send(Query& q, Part& p, Server* s) {
     if (!s || q.ended || p.done || now >= q.deadlineAt) return false;
@@ -818,20 +812,14 @@
       for (std::size_t k = 0; k < p.attempts.size(); ++k) cancel(p, k);
   }
   bool refusalHonest(const Query& q) const {
-    if (classOf(q).effect != Effect::unsafe) return true;
-    for (const Part& p : q.parts)
-      for (const Attempt& a : p.attempts)
-        if (a.mayHaveRun) return false;
-    return true;
+    const auto ran = [](const Part& p) { return std::ranges::any_of(p.attempts, &Attempt::mayHaveRun); };
+    return classOf(q).effect != Effect::unsafe || std::ranges::none_of(q.parts, ran);
   }
   // At once, and where a refusal is honest with the time to stay away: `pause`, or as long as a client heeds.
   void giveUp(Query& q, Micros pause = kNever) {
     std::optional<Micros> hint = set.maxRetryAfter;
     if (hint) hint = std::min(*hint, pause);
-    if (refusalHonest(q))
-      out.push_back(Refuse{q.id, hint});
-    else
-      out.push_back(Fail{q.id});
+    out.push_back(refusalHonest(q) ? Action(Refuse{q.id, hint}) : Action(Fail{q.id}));
     end(q);
   }
   double shareIn(const Query& q) const {
@@ -1039,6 +1027,16 @@
 Aggregator::Aggregator(Aggregator&&) noexcept = default;
 Aggregator& Aggregator::operator=(Aggregator&&) noexcept = default;
 
+Aggregator::Listed Aggregator::listed() const {
+  Listed out;
+  for (const auto& [id, s] : brain_->servers) {
+    if (s.state == ServerState::gone) continue;  // kept for what still points to it
+    ++out.all;
+    if (s.state == ServerState::draining || s.doubted || brain_->pathDoubted(s)) ++out.avoided;
+  }
+  return out;
+}
+
 std::vector<Action> Aggregator::react(Micros now, std::span<const Event> events) {
   brain_->now = now;
   brain_->out.clear();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -103,6 +103,7 @@
   out.name = body.value("name", "");
   out.listen = readAddress(need(body, "listen").get<std::string>());
   out.discovery = readAddress(need(body, "discovery").get<std::string>());
+  if (body.contains("admin")) out.admin = readAddress(need(body, "admin").get<std::string>());
   const std::string seed = need(body, "seed").get<std::string>();
   const char* end = seed.data() + seed.size();
   if (seed.empty() || std::from_chars(seed.data(), end, out.seed, 16).ptr != end)
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -26,6 +26,7 @@
 struct Config {
   std::string name;
   Address listen, discovery;
+  std::optional<Address> admin;  // the operators' address; none: there is none
   std::uint64_t seed = 0;
   int sockets = 1024;
   Settings settings;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -20,6 +20,7 @@
       "backstops",
       "defects",
       "sends",
+      "forwards",
       "cancels",
       "withdrawn",
       "late_answers",
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -33,6 +33,7 @@
   count(Count::queriesTaken);
   if (rules_->settings.maxOpen && held_ >= *rules_->settings.maxOpen) {
     count(Count::queriesFull);
+    countEnd(asked.cls, FinalAnswer::Kind::refused);
     return Taken::full;
   }
   handle = queries_.add();
@@ -402,6 +403,7 @@
   if (!q.ended) {
     --openQueries_;
     held_ -= 1 + openParts(q);
+    countEnd(q.asked.cls, answer.kind);
   }
   q.ended = true;
   agenda_.drop(q.backstop);
@@ -472,6 +474,16 @@
   finish(h, {});
 }
 
+// The one place where a query's end is counted for its class. One whose client has gone has failed.
+void Ledger::countEnd(int cls, FinalAnswer::Kind kind) {
+  const std::vector<std::string>& names = rules_->host.classNames;
+  if (std::size_t(cls) >= names.size()) return;  // the checker's worlds name none
+  ClassCounts& counts = counters_->ofClass(names[std::size_t(cls)]);
+  ++(kind == FinalAnswer::Kind::served    ? counts.succeeded
+     : kind == FinalAnswer::Kind::refused ? counts.declined
+                                          : counts.aborted);
+}
+
 void Ledger::defect(const char* what, const std::string& id) {
   count(Count::defects);
   commands_.push_back(Defect{what, id});
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -191,6 +191,7 @@
   void giveUpLate(Handle h);
   void defect(const char* what, const std::string& id);
   void count(Count what) { counters_->add(what); }
+  void countEnd(int cls, FinalAnswer::Kind kind);
   const ClassSettings& classOf(const Query& q) const {
     return rules_->settings.classes[std::size_t(q.asked.cls)];
   }
--- a/src/core/mixer.cpp
+++ b/src/core/mixer.cpp
@@ -29,6 +29,7 @@
                settle();
              }),
       module_(settings, seed) {
+  for (const std::string& name : host.classNames) counters_.ofClass(name);
   const auto unixNow = std::chrono::system_clock::now().time_since_epoch();
   // Taken once: the module tells a restart by a changed time, so the same time must always come out the same.
   unixOffset_ = std::chrono::duration_cast<std::chrono::microseconds>(unixNow).count() - loop.now();
--- a/src/core/mixer.hpp
+++ b/src/core/mixer.hpp
@@ -28,6 +28,7 @@
   void abandon(Handle query);  // the client has gone
   bool ready() const { return listed_; }
   std::size_t open() const { return ledger_.open(); }
+  Aggregator::Listed listed() const { return module_.listed(); }
   const HostSettings& host() const { return rules_->host; }
 
   void list(const LeafList& list, ListKind kind);
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -1,5 +1,9 @@
 #include "clients.hpp"
 
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cctype>
@@ -8,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "config/config.hpp"
 #include "config/json.hpp"
 #include "core/log.hpp"
 #include "phases/read.hpp"
@@ -208,9 +213,18 @@
   std::shared_ptr<tcp::socket> socket;
   explicit Acceptor(Clients* owner) : clients(owner) {}
   void operator()(error_code ec = {}) {
+    // Accepted before the listener was let go, and told only now: closed unread, its request would be lost.
+    if (!clients->acceptor_.is_open() && !ec && socket && socket->is_open())
+      return clients->accepted(std::move(*socket));
     if (!clients->acceptor_.is_open()) return;
     BOOST_ASIO_CORO_REENTER(this) {
       for (;;) {
+        // Of a shared listener nothing is taken that the other process could serve and this one can't yet.
+        if (clients->shared_ && !clients->mixer_.ready()) {
+          clients->accepting_ = false;
+          clients->acceptLater();
+          return;
+        }
         // At the limit an idle connection makes room; without one, new clients wait in the backlog.
         if (int(clients->connections_.size()) >= clients->connectionsMost_ && !clients->shedIdle()) {
           clients->accepting_ = false;
@@ -255,16 +269,60 @@
   Acceptor{this}();
 }
 
+void Clients::adopt(int descriptor, const Address& address) {
+  const std::string what = "descriptor " + std::to_string(descriptor) + " ";
+  const std::string wanted =
+      ", expected a TCP socket that listens on " + address.host + ":" + std::to_string(address.port);
+  const auto option = [descriptor](int name) {
+    int value = 0;
+    socklen_t size = sizeof value;
+    return getsockopt(descriptor, SOL_SOCKET, name, &value, &size) == 0 ? value : -1;
+  };
+  if (fcntl(descriptor, F_GETFD) < 0) throw BadConfig(what + "is not open" + wanted);
+  const int domain = option(SO_DOMAIN);
+  if (domain < 0) throw BadConfig(what + "is no socket" + wanted);
+  if ((domain != AF_INET && domain != AF_INET6) || option(SO_TYPE) != SOCK_STREAM)
+    throw BadConfig(what + "is another kind of socket" + wanted);
+  if (option(SO_ACCEPTCONN) != 1) throw BadConfig(what + "does not listen" + wanted);
+  const tcp::endpoint at(boost::asio::ip::make_address(address.host), address.port);
+  tcp::endpoint bound;
+  socklen_t size = socklen_t(bound.capacity());
+  if (getsockname(descriptor, bound.data(), &size) != 0) throw BadConfig(what + "has no address" + wanted);
+  bound.resize(size);
+  if (bound != at)
+    throw BadConfig(what + "listens on " + bound.address().to_string() + ":" + std::to_string(bound.port()) +
+                    wanted);
+  fcntl(descriptor, F_SETFD, FD_CLOEXEC);
+  shared_ = true;
+  acceptor_.assign(at.protocol(), descriptor);
+  acceptor_.non_blocking(true);  // shared with whoever holds the socket: each of them has to expect that
+  Acceptor{this}();
+}
+
 void Clients::drain(Micros endBy) {
   draining_ = true;
   endBy_ = endBy;
+  // A close alone leaves the socket in this process's epoll set while another process holds it, and what
+  // comes there would wake what is gone: release() takes it out first.
+  if (shared_ && acceptor_.is_open()) ::close(acceptor_.release());
 }
 
 // A request that crosses the close is sent again elsewhere by its client.
 void Clients::turnAway() {
   turningAway_ = true;
+  closeIdle(true);
+}
+
+// Who has connected and not asked yet is about to: a close would cross that request, as it hardly can that of
+// a connection between two requests. The deadline of its first request ends it.
+void Clients::handOver() {
+  turningAway_ = true;
+  closeIdle(false);
+}
+
+void Clients::closeIdle(bool unasked) {
   for (const Handle h : connections_.all())
-    if (Connection* c = connections_.get(h); c && idle(*c)) close(*c);
+    if (Connection* c = connections_.get(h); c && (unasked || c->asked) && idle(*c)) close(*c);
 }
 
 // Taken is what the machine has accepted, whether or not the program has: the backlog is emptied first.
@@ -446,6 +504,8 @@
     read = {400, "X-Request-ID is in use", {}};
   }
   counters_.add(Count::badRequests);
+  const std::string* cls = request.header("x-priority-class");
+  if (cls && std::ranges::count(mixer_.host().classNames, *cls) > 0) ++counters_.ofClass(*cls).aborted;
   logLine("request turned away: %s", read.why.c_str());
   c.keep = false;
   const Json body = {{"error", read.why}};
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -33,10 +33,17 @@
   Clients(Loop& loop, Counters& counters, Mixer& mixer, int connectionsMost);
   void listen(const Address& address);  // throws boost::system::system_error; port 0: any that is free
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-  void drain(Micros endBy);  // from now on /up says no, and what is taken has its answer by then
-  void turnAway();           // answers end their connections, idle ones are closed
-  void finish();             // closes the listener, takes what it still held, and all that is idle
-  bool busy() const;         // a request has begun to come in or waits for its answer
+  // In place of listen: on a socket that listens there and that another process accepts from too. The
+  // descriptor belongs to this from then on. Throws BadConfig: which one, what is wrong, what was expected.
+  void adopt(int descriptor, const Address& address);
+  bool accepting() const { return acceptor_.is_open() && !draining_; }
+  // From now on /up says no, and what is taken has its answer by then. A shared listener is let go: what
+  // waits in its queue is the other process's.
+  void drain(Micros endBy);
+  void turnAway();    // answers end their connections, idle ones are closed
+  void handOver();    // the same, but who has only just connected has its time to ask
+  void finish();      // closes the listener, takes what it still held, and all that is idle
+  bool busy() const;  // a request has begun to come in or waits for its answer
   std::size_t connections() const { return connections_.size(); }
 
  private:
@@ -77,6 +84,7 @@
   void trimIdle();
   void acceptAgain();
   void acceptLater();
+  void closeIdle(bool unasked);
   bool crowded() const { return int(connections_.size()) > connectionsMost_ / 2; }
 
   Loop& loop_;
@@ -85,6 +93,7 @@
   int connectionsMost_;
   tcp::acceptor acceptor_;
   bool accepting_ = false, draining_ = false, turningAway_ = false;
+  bool shared_ = false;  // the listener: another process may accept from it
   Micros endBy_ = INT64_MAX;
   std::optional<Deadlines::Key> acceptPause_;
   Slots<Connection> connections_;
--- a/src/leaf/frame/links.cpp
+++ b/src/leaf/frame/links.cpp
@@ -309,6 +309,7 @@
   }
   if (item.done < item.bytes.size()) return;
   for (const Call& one : item.calls) {
+    count(Count::forwards);
     c->queued -= std::min(c->queued, one.text->size() + kHeadBytes);
     if (const auto out = c->out.find(one.id); out != c->out.end()) out->second.state = SendState::written;
   }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,11 +3,14 @@
 
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <exception>
 
+#include "admin/server.hpp"
 #include "config/config.hpp"
 #include "core/log.hpp"
 #include "core/loop.hpp"
@@ -32,6 +35,8 @@
 // Descriptors kept back from clients: for leaf servers, and for discovery, the listener and the standard
 // ones.
 constexpr int kForLeaves = 256, kForOthers = 32;
+// Of the last, for operators: a sixteenth of all, between these.
+constexpr int kAdminLeast = 4, kAdminMost = 16, kAdminPart = 16;
 // After SIGTERM connections go on coming for a while; the program outlasts that even with nothing to do.
 // SIGKILL comes so much later than the longest deadline, which counts as kDeadlineMost at the most; what is
 // taken meanwhile has its answer kKillMargin ahead of it.
@@ -99,13 +104,57 @@
 };
 #endif
 
-// `reload` holds a SIGHUP from before the configuration was read: it must be neither lost nor end the
-// program.
-int serve(Loop& loop, boost::asio::signal_set& reload, const char* path) {
+// The platform's socket for clients, where it holds one: both processes of an upgrade accept from it.
+std::optional<int> inheritedListener() {
+  const char* text = std::getenv("BALANCER_FD");
+  if (!text) return std::nullopt;
+  int out = -1;
+  const char* end = text + std::strlen(text);
+  if (std::from_chars(text, end, out).ptr != end || out < 0)
+    throw BadConfig("BALANCER_FD: '" + std::string(text) + "' is no descriptor, expected a number from 0 on");
+  return out;
+}
+
+std::string asText(const Address& address) { return address.host + ":" + std::to_string(address.port); }
+
+// The configuration and the environment both name it; a process that trusted one of two would take the
+// other's place.
+std::optional<Address> adminAddress(const Config& config) {
+  const char* text = std::getenv("BALANCER_ADMIN");
+  if (!text) return config.admin;
+  const Address told = readAddress(text);
+  if (config.admin && *config.admin != told)
+    throw BadConfig("BALANCER_ADMIN is " + asText(told) + ", expected 'admin' of the configuration, " +
+                    asText(*config.admin));
+  return told;
+}
+
+template <typename What>
+void listenOn(What& what, const Address& address) {
+  try {
+    what.listen(address);
+  } catch (const boost::system::system_error& problem) {
+    throw BadConfig("cannot listen on " + asText(address) + ": " + problem.code().message());
+  }
+}
+
+// Caught from before the configuration is read: one that comes early must be neither lost nor end the
+// program in the system's way.
+struct Signals {
+  explicit Signals(Loop& loop)
+      : reload(loop.strand, SIGHUP), report(loop.strand, SIGUSR1), stop(loop.strand, SIGTERM, SIGINT) {}
+  boost::asio::signal_set reload, report, stop;
+};
+
+int serve(Loop& loop, Signals& signals, const char* path) {
   Config config = readConfigFile(path);
   readPlans(config);
+  const std::optional<int> inherited = inheritedListener();
+  const std::optional<Address> adminAt = adminAddress(config);
   Counters counters;
-  const int sockets = descriptors(config.sockets);
+  // In an upgrade the old process and the new one hold descriptors of one mixer, and neither sees the
+  // other's.
+  const int sockets = descriptors(config.sockets) / (inherited ? 2 : 1);
   const int forLeaves = std::min(kForLeaves, sockets / 3);
   LeafSockets leaves(loop,
                      std::make_unique<Links>(linkLimits(config.host, config.settings, forLeaves), &counters));
@@ -122,16 +171,32 @@
   discovery.onList = [&](const LeafList& list) {
     mixer.list(list, list.whole ? ListKind::complete : ListKind::changes);
   };
-  discovery.start();
   Clients clients(loop, counters, mixer, std::max(8, sockets - forLeaves - kForOthers));
-  clients.listen(config.listen);
+  const auto figures = [&] {
+    Figures out;
+    out.outstanding = mixer.open();
+    const Aggregator::Listed listed = mixer.listed();
+    out.discovered = listed.all, out.ejected = listed.avoided;
+    out.notReady = !clients.accepting() ? "it stops" : "it has no list of leaf servers yet";
+    out.ready = clients.accepting() && mixer.ready();
+    return out;
+  };
+  AdminServer admin(loop, std::clamp(sockets / kAdminPart, kAdminLeast, kAdminMost),
+                    [&](const std::string& call) { return answerCall(call, figures(), counters); });
+  // The clients' listener comes last: whoever connects there is served.
+  if (adminAt) listenOn(admin, *adminAt);
   if (grpc) grpc->listen(loop, counters, mixer, config.host);
+  if (inherited)
+    clients.adopt(*inherited, config.listen);
+  else
+    listenOn(clients, config.listen);
+  discovery.start();
   logLine("%s: listening on %s:%u", config.name.c_str(), config.listen.host.c_str(),
           unsigned(config.listen.port));
 
   // A reload takes the address of discovery; queries, connections and the module's state stay as they are.
   std::function<void()> waitReload = [&] {
-    reload.async_wait([&](const boost::system::error_code& ec, int) {
+    signals.reload.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
       try {
         const Address next = readConfigFile(path).discovery;
@@ -147,9 +212,8 @@
     });
   };
   waitReload();
-  boost::asio::signal_set report(loop.strand, SIGUSR1), stop(loop.strand, SIGTERM, SIGINT);
   std::function<void()> waitReport = [&] {
-    report.async_wait([&](const boost::system::error_code& ec, int) {
+    signals.report.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
       counters.print(stderr);
       waitReport();
@@ -173,12 +237,13 @@
     }
     loop.deadlines.add(loop.now() + kDrainLook, [&] { drained(); });
   };
-  stop.async_wait([&](const boost::system::error_code& ec, int) {
+  signals.stop.async_wait([&](const boost::system::error_code& ec, int) {
     if (ec) return;
     logLine("%s: stopping", config.name.c_str());
     stoppedAt = loop.now();
     clients.drain(stoppedAt + longest + kDrainLeast - kKillMargin);
     if (grpc) grpc->server->drain(stoppedAt + longest + kDrainLeast - kKillMargin);
+    if (inherited) clients.handOver();  // another process serves whoever comes again
     drained();
   });
   loop.io.run();
@@ -196,8 +261,8 @@
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw BadConfig("BALANCER_CONFIG is not set");
     Loop loop;
-    boost::asio::signal_set reload(loop.strand, SIGHUP);
-    return serve(loop, reload, path);
+    Signals signals(loop);
+    return serve(loop, signals, path);
   } catch (const std::exception& problem) {
     std::fprintf(stderr, "cometdeal: %s\n", problem.what());
     return 2;
