--- a/src/admin/calls.cpp
+++ b/src/admin/calls.cpp
@@ -35,7 +35,7 @@
 
 std::string answerCall(const std::string& call, const Figures& figures, const Counters& counters) {
   if (call == "check") return figures.ready ? "+OK ready\n" : "-ERR not ready: " + figures.notReady + "\n";
-  if (call == "vars") return "+OK " + writeFigures(figures, counters) + "\n.\n";
+  if (call == "vars") return writeFigures(figures, counters) + "\n.\n";
   const std::string known = ", expected check or vars\n";
   if (call.empty()) return "-ERR empty call" + known;
   if (call.size() > kCallMost) return "-ERR call over " + std::to_string(kCallMost) + " bytes" + known;
--- a/src/admin/calls.hpp
+++ b/src/admin/calls.hpp
@@ -32,7 +32,8 @@
   std::string line_;
 };
 
-// The whole reply, which starts with +OK or -ERR.
+// The whole reply: a line that starts with +OK or -ERR, but for the figures. These come as they are, on one
+// line, and then a line with a dot.
 std::string answerCall(const std::string& call, const Figures& figures, const Counters& counters);
 
 }  // namespace cometdeal::net
