Test an upgrade with real processes; close idle clients of the old one only after 0.3 s of silence

Changed: a descriptor that is not open is found out before the program opens its own (BALANCER_FD=3 was 'no socket', the epoll set having got that number); ends by class are printed with the counters.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -47,6 +47,11 @@
     std::fprintf(to, "counter %s %" PRIu64 "\n", names[k], counts_[k]);
   for (std::size_t k = 0; k < outcomes.size(); ++k)
     std::fprintf(to, "counter outcome_%s %" PRIu64 "\n", outcomes[k], outcomes_[k]);
+  for (const auto& [name, counts] : classes_) {
+    std::fprintf(to, "counter succeeded.%s %" PRIu64 "\n", name.c_str(), counts.succeeded);
+    std::fprintf(to, "counter declined.%s %" PRIu64 "\n", name.c_str(), counts.declined);
+    std::fprintf(to, "counter aborted.%s %" PRIu64 "\n", name.c_str(), counts.aborted);
+  }
   std::fflush(to);
 }
 
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -2,7 +2,6 @@
 
 #include <fcntl.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -38,6 +37,7 @@
 // Clients that ask once and stay would else use up the connections that their side may hold, and new queries
 // wait there.
 constexpr int kIdlePart = 4;
+constexpr Micros kHandOverTime = 300'000;  // between requests, while another process takes over
 constexpr Micros kAcceptPause = 20'000;
 constexpr int kQueried = 3;                          // the last rank to make room
 constexpr std::size_t kBufferedMost = 128UL * 1024;  // beyond it a client that pipelines is not read
@@ -278,7 +278,6 @@
     socklen_t size = sizeof value;
     return getsockopt(descriptor, SOL_SOCKET, name, &value, &size) == 0 ? value : -1;
   };
-  if (fcntl(descriptor, F_GETFD) < 0) throw BadConfig(what + "is not open" + wanted);
   const int domain = option(SO_DOMAIN);
   if (domain < 0) throw BadConfig(what + "is no socket" + wanted);
   if ((domain != AF_INET && domain != AF_INET6) || option(SO_TYPE) != SOCK_STREAM)
@@ -302,27 +301,27 @@
 void Clients::drain(Micros endBy) {
   draining_ = true;
   endBy_ = endBy;
-  // A close alone leaves the socket in this process's epoll set while another process holds it, and what
-  // comes there would wake what is gone: release() takes it out first.
-  if (shared_ && acceptor_.is_open()) ::close(acceptor_.release());
+  // The system keeps a closed socket in the epoll set while another process holds it. Asio takes one that
+  // was assigned out of the set first; to shut it down would end it for the other process.
+  error_code ignored;
+  if (shared_) acceptor_.close(ignored);
 }
 
 // A request that crosses the close is sent again elsewhere by its client.
 void Clients::turnAway() {
   turningAway_ = true;
-  closeIdle(true);
+  for (const Handle h : connections_.all())
+    if (Connection* c = connections_.get(h); c && idle(*c)) close(*c);
 }
 
-// Who has connected and not asked yet is about to: a close would cross that request, as it hardly can that of
-// a connection between two requests. The deadline of its first request ends it.
+// A close hardly crosses the request of who has been silent for long. Who asks often is told with the next
+// answer; who has not asked yet is about to, and the deadline of the first request ends it otherwise.
 void Clients::handOver() {
   turningAway_ = true;
-  closeIdle(false);
-}
-
-void Clients::closeIdle(bool unasked) {
   for (const Handle h : connections_.all())
-    if (Connection* c = connections_.get(h); c && (unasked || c->asked) && idle(*c)) close(*c);
+    if (Connection* c = connections_.get(h);
+        c && c->asked && loop_.now() - c->usedAt >= kHandOverTime && idle(*c))
+      close(*c);
 }
 
 // Taken is what the machine has accepted, whether or not the program has: the backlog is emptied first.
--- a/src/front/http/clients.hpp
+++ b/src/front/http/clients.hpp
@@ -40,8 +40,10 @@
   // From now on /up says no, and what is taken has its answer by then. A shared listener is let go: what
   // waits in its queue is the other process's.
   void drain(Micros endBy);
-  void turnAway();    // answers end their connections, idle ones are closed
-  void handOver();    // the same, but who has only just connected has its time to ask
+  void turnAway();  // answers end their connections, idle ones are closed
+  // To be called again and again in a drain that another process takes over from: answers end their
+  // connections, and of the idle ones those are closed that have asked before and been silent for long.
+  void handOver();
   void finish();      // closes the listener, takes what it still held, and all that is idle
   bool busy() const;  // a request has begun to come in or waits for its answer
   std::size_t connections() const { return connections_.size(); }
@@ -84,7 +86,6 @@
   void trimIdle();
   void acceptAgain();
   void acceptLater();
-  void closeIdle(bool unasked);
   bool crowded() const { return int(connections_.size()) > connectionsMost_ / 2; }
 
   Loop& loop_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // The mixer: reads its configuration, wires the parts together, handles signals.
+#include <fcntl.h>
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -104,7 +105,8 @@
 };
 #endif
 
-// The platform's socket for clients, where it holds one: both processes of an upgrade accept from it.
+// The platform's socket for clients, where it holds one: both processes of an upgrade accept from it. To be
+// called before the program opens anything, which might get that very number.
 std::optional<int> inheritedListener() {
   const char* text = std::getenv("BALANCER_FD");
   if (!text) return std::nullopt;
@@ -112,6 +114,9 @@
   const char* end = text + std::strlen(text);
   if (std::from_chars(text, end, out).ptr != end || out < 0)
     throw BadConfig("BALANCER_FD: '" + std::string(text) + "' is no descriptor, expected a number from 0 on");
+  if (fcntl(out, F_GETFD) < 0)
+    throw BadConfig("BALANCER_FD: descriptor " + std::string(text) +
+                    " is not open, expected a socket that listens");
   return out;
 }
 
@@ -146,10 +151,9 @@
   boost::asio::signal_set reload, report, stop;
 };
 
-int serve(Loop& loop, Signals& signals, const char* path) {
+int serve(Loop& loop, Signals& signals, const char* path, std::optional<int> inherited) {
   Config config = readConfigFile(path);
   readPlans(config);
-  const std::optional<int> inherited = inheritedListener();
   const std::optional<Address> adminAt = adminAddress(config);
   Counters counters;
   // In an upgrade the old process and the new one hold descriptors of one mixer, and neither sees the
@@ -226,6 +230,7 @@
   const auto grpcBusy = [&] { return grpc && grpc->server->busy(); };
   std::function<void()> drained = [&] {
     // All that is held is finished first; then the backlog is taken, and what that brought is finished too.
+    if (inherited) clients.handOver();  // another process serves whoever comes again
     if (loop.now() - stoppedAt >= longest) clients.turnAway();
     if (clients.connections() > 0 && loop.now() - stoppedAt < longest) {
       // Another mixer may be away at the same time: clients that stay are served for as long as there is
@@ -243,7 +248,6 @@
     stoppedAt = loop.now();
     clients.drain(stoppedAt + longest + kDrainLeast - kKillMargin);
     if (grpc) grpc->server->drain(stoppedAt + longest + kDrainLeast - kKillMargin);
-    if (inherited) clients.handOver();  // another process serves whoever comes again
     drained();
   });
   loop.io.run();
@@ -260,9 +264,10 @@
   try {
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw BadConfig("BALANCER_CONFIG is not set");
+    const std::optional<int> inherited = inheritedListener();
     Loop loop;
     Signals signals(loop);
-    return serve(loop, signals, path);
+    return serve(loop, signals, path, inherited);
   } catch (const std::exception& problem) {
     std::fprintf(stderr, "cometdeal: %s\n", problem.what());
     return 2;
--- a/src/standin/http_client.cpp
+++ b/src/standin/http_client.cpp
@@ -35,6 +35,11 @@
   state_->socket.close(ignored);
 }
 
+bool HttpClient::ended() const {
+  char one = 0;
+  return state_->closed || ::recv(state_->socket.native_handle(), &one, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void HttpClient::ask(std::string request, Told told) {
   if (state_->closed) return told({});
   state_->waiting.emplace_back(std::move(request), std::move(told));
--- a/src/standin/http_client.hpp
+++ b/src/standin/http_client.hpp
@@ -33,6 +33,7 @@
   void ask(std::string request, Told told);
   void close();
   bool closed() const { return state_->closed; }
+  bool ended() const;  // closed, or the other side has ended it between requests
 
  private:
   struct State {
