Take new settings at SIGHUP, whole or not at all; queries keep their class

Cause: the new file was read but its settings not taken, and queries of new classes were turned away as unknown. Changed: core/retune gives classes places that queries hold; readReload turns down a file that lacks a key of the one in force and names the key; the module takes Retuned.

--- a/include/cometdeal/aggregator.hpp
+++ b/include/cometdeal/aggregator.hpp
@@ -32,6 +32,7 @@
   double floor = 1.0;                  // least share that may be answered
   double partial = 0.0;                // an answer that is not whole earns this x share / need
   int followUp = 0;                    // parts of a second step; 0: one step only
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
@@ -133,8 +134,13 @@
   std::string id;
 };
 struct TimerFired {};
-using Event =
-    std::variant<ListArrived, QueryArrived, PartArrived, AttemptEnded, ClientGone, TimerFired, StepBegan>;
+// Other settings from now on. Open queries keep their class by its place, so what stands there stays.
+struct Retuned {
+  Settings settings;
+  std::vector<int> from;  // by class: whose learned figures it takes over; -1: none
+};
+using Event = std::variant<ListArrived, QueryArrived, PartArrived, AttemptEnded, ClientGone, TimerFired,
+                           StepBegan, Retuned>;
 
 // Actions.
 struct Send {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -79,6 +79,18 @@
   return mix(h);
 }
 
+// Of a server, or of the way to a zone: nothing but trials goes there, ever more rarely.
+struct Doubt {
+  bool on = false;
+  Micros since = 0, nextTrial = 0, gap = kTrialFirst;
+  void begin(Micros now) { on = true, since = now, nextTrial = now + gap; }
+  void tried(Micros now) {
+    if (!on) return;
+    nextTrial = now + gap;
+    gap = std::min(kTrialMost, gap * 2);
+  }
+};
+
 struct Server {
   std::string id;
   int zone = 0, cell = 0;
@@ -94,8 +106,8 @@
   double overdue = 0.0;            // age of the oldest part out there
   double evidence = 0.0;           // latencies that the mean rests on, less as they grow old
   Micros learnedAt = 0, lastHeard = -kNever;
-  bool doubted = false, connSuspect = false;  // connSuspect: to be closed before the next send
-  Micros doubtedAt = 0, nextTrial = 0, trialGap = kTrialFirst;
+  Doubt doubt;
+  bool connSuspect = false;  // to be closed before the next send
   Micros coldSince = -kNever;
   Micros connUsed = -kNever;  // when its connection last was new, in steady use or heard from
   Micros idleFailedAt = -kNever, idleFailed = 0;    // when one unused for that long last failed
@@ -111,8 +123,7 @@
   double inTime = 0.0, late = 0.0, lateQueries = 0.0;  // decaying counts; queries with something late
   std::int64_t lateQuery = -1;                         // the latest of them
   Micros countedAt = 0;
-  bool doubted = false;
-  Micros doubtedAt = 0, nextTrial = 0, trialGap = kTrialFirst;
+  Doubt doubt;
 };
 
 struct Attempt {
@@ -220,13 +231,21 @@
   std::vector<double> shareTokens;  // of tenants
   Micros shareAt = 0;
 
-  Brain(Settings settings, std::uint64_t seed) : set(std::move(settings)), salt(mix(seed + 1)) {
-    const std::size_t n = set.classes.size();
-    trackers.resize(n), buckets.resize(n);
+  Brain(const Settings& settings, std::uint64_t seed) : salt(mix(seed + 1)) {
+    on(Retuned{settings, std::vector<int>(settings.classes.size(), -1)});
+  }
+  void on(const Retuned& e) {
+    set = e.settings;
+    trackers.resize(set.classes.size()), buckets.resize(set.classes.size());
+    for (std::size_t k = 0; k < e.from.size(); ++k) {
+      const int old = e.from[k];
+      trackers[k] = old < 0 ? Tracker{} : Tracker(trackers[std::size_t(old)]);
+      buckets[k] = old < 0 ? Bucket{} : Bucket(buckets[std::size_t(old)]);
+    }
     shareTokens.assign(set.tenants.size(), 1.0);
     set.cells = std::max(1, set.cells);
     set.reach = std::max(1, set.reach);
-    shardHolders.resize(std::size_t(set.cells));
+    placeHolders();
   }
 
   // Between 0 and 1, by the instance's seed.
@@ -246,7 +265,6 @@
       return;
     }
     if (list.kind != ListKind::restored) subscribed = true, askGap = kAskFirst, askAt = -1;
-    shardHolders.assign(std::size_t(set.cells), {});
     std::set<std::string> named;
     for (const ServerEntry& entry : list.entries) {
       named.insert(entry.id);
@@ -263,14 +281,17 @@
       }
       if (entry.started) s.started = entry.started;
     }
-    for (auto& [id, s] : servers) {
+    for (auto& [id, s] : servers)
       if (list.kind != ListKind::changes && !named.contains(id)) s.state = ServerState::gone;
-      if (s.state != ServerState::serving) continue;
-      for (int back = 0; back < std::min(set.reach, set.cells); ++back)
-        shardHolders[at(s.cell - back)].push_back(&s);
-    }
+    placeHolders();
     forgetGone();
   }
+  void placeHolders() {
+    shardHolders.assign(std::size_t(set.cells), {});
+    for (auto& [id, s] : servers)
+      for (int back = 0; s.state == ServerState::serving && back < std::min(set.reach, set.cells); ++back)
+        shardHolders[at(s.cell - back)].push_back(&s);
+  }
   // A server that is replaced never comes back under its id. What still points to it keeps it for now.
   void forgetGone() {
     std::set<const Server*> used;
@@ -309,7 +330,7 @@
     doneTotal = 0.0;
     int warm = 0;
     for (const auto& [id, s] : servers) {
-      if (s.state != ServerState::serving || s.doubted) continue;
+      if (s.state != ServerState::serving || s.doubt.on) continue;
       if (set.cold && now - s.coldSince < set.cold->warmAfter) continue;
       doneTotal += doneRate(s);
       ++warm;
@@ -328,18 +349,16 @@
   }
 
   void doubt(Server& s, const char* why) {
-    if (s.doubted) return;
+    if (s.doubt.on) return;
     out.push_back(Note{"in doubt: " + s.id + ", " + why});
-    s.doubted = true;
-    s.doubtedAt = now;
-    s.trialGap = kTrialFirst;
-    s.nextTrial = now + s.trialGap;
+    s.doubt = Doubt{};
+    s.doubt.begin(now);
   }
   // A server that was silent for long may have restarted unseen, so it comes back as if cold.
   void clear(Server& s) {
     out.push_back(Note{"trusted again: " + s.id});
-    if (now - s.doubtedAt > kTrialMost / 2) s.coldSince = now;
-    s.doubted = false;
+    if (now - s.doubt.since > kTrialMost / 2) s.coldSince = now;
+    s.doubt.on = false;
     s.evidence = 0.0;
   }
   // A withdrawn or overdue attempt tells at least how long it took so far.
@@ -448,8 +467,8 @@
     path.lateQueries = path.lateQueries * kept + (!inTime && path.lateQuery != q.group ? 1.0 : 0.0);
     if (!inTime) path.lateQuery = q.group;
     path.countedAt = now;
-    if (path.doubted && inTime && a.sentAt > path.doubtedAt) clearPath(a.server->zone, path);
-    if (!path.doubted && !inTime) judgePath(a.server->zone, path);
+    if (path.doubt.on && inTime && a.sentAt > path.doubt.since) clearPath(a.server->zone, path);
+    if (!path.doubt.on && !inTime) judgePath(a.server->zone, path);
   }
   static double lateShare(const Path& path) { return path.late / std::max(1e-9, path.late + path.inTime); }
   void judgePath(int zone, Path& path) {
@@ -459,21 +478,19 @@
     });
     if (!otherWell) return;
     out.push_back(Note{"way to a zone in doubt: " + std::to_string(zone)});
-    path.doubted = true;
-    path.doubtedAt = now;
-    path.nextTrial = now + path.trialGap;
+    path.doubt.begin(now);
   }
   void clearPath(int zone, Path& path) {
     out.push_back(Note{"way to a zone trusted again: " + std::to_string(zone)});
     path = Path{};
     for (auto& [id, s] : servers)
-      if (s.zone == zone && s.doubted) s.nextTrial = std::min(s.nextTrial, now);
+      if (s.zone == zone && s.doubt.on) s.doubt.nextTrial = std::min(s.doubt.nextTrial, now);
   }
   bool pathDoubted(const Server& s) const {
     const auto at = paths.find(s.zone);
-    return at != paths.end() && at->second.doubted;
+    return at != paths.end() && at->second.doubt.on;
   }
-  bool pathTrialDue(const Server& s) const { return now >= paths.at(s.zone).nextTrial; }
+  bool pathTrialDue(const Server& s) const { return now >= paths.at(s.zone).doubt.nextTrial; }
 
   // Out of step with its peers, by what is still out. Silent: it owes answers for long and has said nothing
   // since, while another server has already served what was sent later. If all are, no one.
@@ -495,13 +512,12 @@
             release(a);
             continue;
           }
-          if (double(age(a)) <= kSilentDelays * double(baseDelay(q.cls)) || s.doubted ||
-              s.lastAnswered >= a.sentAt)
-            continue;
-          if (newestServed > a.sentAt) doubt(s, "owes answers and says nothing");
+          const bool silent = double(age(a)) > kSilentDelays * double(baseDelay(q.cls));
+          if (silent && s.lastAnswered < a.sentAt && newestServed > a.sentAt)
+            doubt(s, "owes answers and says nothing");
         }
   }
-  bool trialDue(const Server& s) const { return s.doubted && now >= s.nextTrial && s.partsOut == 0; }
+  bool trialDue(const Server& s) const { return s.doubt.on && now >= s.doubt.nextTrial && s.partsOut == 0; }
 
   // Of the queries that would go to a cold server the share passes that it can take by now, half the rule's
   // multiple of its surely grown capacity, by a draw for each query, server and window: so bundles stay whole
@@ -550,7 +566,7 @@
   }
   bool trustworthy(const Query& q, const Server& s) const {
     if (pathDoubted(s) && !(pathTrialDue(s) && mayTry(q))) return false;
-    return !s.doubted || (trialDue(s) && mayTry(q));
+    return !s.doubt.on || (trialDue(s) && mayTry(q));
   }
   // First send: the key's home, or the least loaded holder when home is far above the shard's mean. Servers
   // in doubt count as absent unless every holder is.
@@ -580,10 +596,10 @@
     Server* best = nullptr;
     double bestScore = 0;
     for (Server* s : holders(p.shard)) {
-      if (triedAt(p, s, true) || !coldAllows(q, *s) || (s->doubted && !trialDue(*s))) continue;
+      if (triedAt(p, s, true) || !coldAllows(q, *s) || (s->doubt.on && !trialDue(*s))) continue;
       double score = double(predict(*s, q.cls));
       if (triedAt(p, s, false)) score *= 2;
-      if (s->doubted || pathDoubted(*s)) score *= 4;
+      if (s->doubt.on || pathDoubted(*s)) score *= 4;
       if (set.zone && s->zone != *set.zone) score *= 1.05;
       if (!best || score < bestScore) best = s, bestScore = score;
     }
@@ -633,15 +649,8 @@
         Attempt{s, now, stood, s->openCall, s->partsOut, suspect(q), idle, true, false, true});
     ++s->partsOut;
     if (set.cold && now - s->coldSince < set.cold->warmAfter) s->sends.push_back(now);
-    if (s->doubted) {
-      s->nextTrial = now + s->trialGap;
-      s->trialGap = std::min(kTrialMost, s->trialGap * 2);
-    }
-    if (pathDoubted(*s)) {
-      Path& path = paths.at(s->zone);
-      path.nextTrial = now + path.trialGap;
-      path.trialGap = std::min(kTrialMost, path.trialGap * 2);
-    }
+    s->doubt.tried(now);
+    if (pathDoubted(*s)) paths.at(s->zone).doubt.tried(now);
     p.spare = false;
     out.push_back(Send{p.id, s->id, q.deadlineAt - now});
     return true;
@@ -653,15 +662,10 @@
     const Micros usual = std::max(kMinDelay, trackers[std::size_t(q.cls)].median);
     for (const Attempt& a : p.attempts) {
       const Micros delay = std::min(baseDelay(q.cls), std::max(usual, q.aimAt - a.sentAt - 2 * usual));
-      if (a.live && age(a) <= delay && !a.server->doubted && !pathDoubted(*a.server)) return false;
+      if (a.live && age(a) <= delay && !a.server->doubt.on && !pathDoubted(*a.server)) return false;
     }
     return true;
   }
-  Part* nextSpare(Query& q) {
-    for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k)
-      if (q.parts[k].spare) return &q.parts[k];
-    return nullptr;
-  }
   void drive(Query& q) {
     for (std::size_t k = q.stepBegin; k < q.parts.size(); ++k) {
       Part& p = q.parts[k];
@@ -672,7 +676,9 @@
       }
       if (!isLate(q, p)) continue;
       if (!p.late) {  // once a part: a spare in its place costs neither tokens nor budget
-        if (Part* spare = nextSpare(q); spare && send(q, *spare, firstTarget(q, *spare))) {
+        const auto begin = q.parts.begin() + std::ptrdiff_t(q.stepBegin);
+        const auto spare = std::ranges::find(begin, q.parts.end(), true, &Part::spare);
+        if (spare != q.parts.end() && send(q, *spare, firstTarget(q, *spare))) {
           p.late = true;
           continue;
         }
@@ -764,7 +770,7 @@
         trackers[std::size_t(q.cls)].add(now - a.sentAt);
         pooled.add(now - a.sentAt);
         buckets[std::size_t(q.cls)].earn();
-        if (s.doubted) clear(s);
+        if (s.doubt.on) clear(s);
         learnLatency(s, latency, false);
         break;
       case Outcome::cancelled:
@@ -817,8 +823,7 @@
   }
   // At once, and where a refusal is honest with the time to stay away: `pause`, or as long as a client heeds.
   void giveUp(Query& q, Micros pause = kNever) {
-    std::optional<Micros> hint = set.maxRetryAfter;
-    if (hint) hint = std::min(*hint, pause);
+    const auto hint = set.maxRetryAfter ? std::optional(std::min(*set.maxRetryAfter, pause)) : std::nullopt;
     out.push_back(refusalHonest(q) ? Action(Refuse{q.id, hint}) : Action(Fail{q.id}));
     end(q);
   }
@@ -865,8 +870,7 @@
       return giveUp(q);
     }
     const ClassSettings& cls = classOf(q);
-    const std::size_t arrivedParts = q.parts.size() - q.stepBegin;
-    const bool complete = q.stepExpected > 0 && arrivedParts >= q.stepExpected;
+    const bool complete = q.stepExpected > 0 && q.parts.size() - q.stepBegin >= q.stepExpected;
     const double need = q.step == 1 ? cls.need : 1.0;
     const double floor = q.step == 1 ? cls.floor : (cls.floor < cls.need - kWeightSlack ? cls.floor : 1.0);
     const double in = shareIn(q);
@@ -1032,7 +1036,7 @@
   for (const auto& [id, s] : brain_->servers) {
     if (s.state == ServerState::gone) continue;  // kept for what still points to it
     ++out.all;
-    if (s.state == ServerState::draining || s.doubted || brain_->pathDoubted(s)) ++out.avoided;
+    if (s.state == ServerState::draining || s.doubt.on || brain_->pathDoubted(s)) ++out.avoided;
   }
   return out;
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,7 @@
 #include "config.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <fstream>
@@ -34,6 +35,58 @@
   for (const Json& one : info.value(name, Json::array())) out.push_back(one.get<std::string>());
   return out;
 }
+// Above 0, and small enough to count with.
+void checkPositive(const Json& object, const char* name, const std::string& where) {
+  const auto at = object.find(name);
+  if (at == object.end()) return;
+  const double number = at->is_number() ? at->get<double>() : 0.0;
+  if (!(number > 0 && number < 1e12))
+    throw BadConfig("'" + where + "." + name + "' is " + at->dump() + ", expected a number above 0");
+}
+// Of the classes: deadlines that can be kept, and names that tell them apart.
+void checkSettings(const Json& info) {
+  std::vector<std::string> names;
+  for (const Json& one : need(info, "categories")) {
+    const std::string where = "settings.categories[" + std::to_string(names.size()) + "]";
+    if (!one.is_object()) throw BadConfig("'" + where + "' is not an object");
+    if (!one.contains("aim")) throw BadConfig("'" + where + ".aim' is missing");
+    for (const char* name : {"aim", "hardLimit"}) checkPositive(one, name, where);
+    names.push_back(need(one, "name").get<std::string>());
+    if (names.back().empty()) throw BadConfig("'" + where + ".name' is empty, expected a name");
+    if (std::ranges::count(names, names.back()) > 1)
+      throw BadConfig("'" + where + ".name' is '" + names.back() + "' for the second time");
+  }
+  const auto limits = info.find("limits");
+  if (limits == info.end() || !limits->is_object()) return;
+  checkPositive(*limits, "maxAttempts", "settings.limits");
+  if (limits->contains("maxAttempts") && (*limits)["maxAttempts"].get<double>() < 1)
+    throw BadConfig("'settings.limits.maxAttempts' is " + (*limits)["maxAttempts"].dump() +
+                    ", expected 1 or more");
+}
+
+// What one that is read again may lack: what the platform calls optional, and what is of no use twice.
+constexpr std::array kMayLack = {"known",      "admin",     "grpc",       "plans",
+                                 "aimStretch", "warmKeys",  "minExtra",   "furtherRatio",
+                                 "lookBack",   "askWithin", "deductions", "dedupWindow"};
+
+const char* kindOf(const Json& value) { return value.is_number() ? "number" : value.type_name(); }
+
+void checkNothingMissing(const Json& was, const Json& next, const std::string& where) {
+  if (!was.is_null() && !next.is_null() && std::string(kindOf(was)) != kindOf(next))
+    throw BadConfig("'" + where + "' is of type " + kindOf(next) + ", expected " + kindOf(was));
+  if (was.is_object() && next.is_object()) {
+    for (const auto& [name, value] : was.items()) {
+      const std::string path = where.empty() ? name : where + "." + name;
+      if (std::ranges::count(kMayLack, name) > 0) continue;
+      if (!next.contains(name)) throw BadConfig("'" + path + "' is missing");
+      checkNothingMissing(value, next[name], path);
+    }
+  } else if (was.is_array() && next.is_array() && !was.empty() && was[0].is_object()) {
+    for (std::size_t k = 0; k < next.size(); ++k)
+      checkNothingMissing(was[0], next[k], where + "[" + std::to_string(k) + "]");
+  }
+}
+
 HostSettings readHost(const Json& info) {
   HostSettings out;
   out.zones = words(info, "zones");
@@ -112,6 +165,8 @@
   out.plansFile = body.value("plans", "");
   if (body.contains("limits")) out.sockets = body["limits"].value("sockets", out.sockets);
   const Json& settings = need(body, "settings");
+  if (!settings.is_object()) throw BadConfig("'settings' is not an object");
+  checkSettings(settings);
   out.settings = wire::readSettings(settings);
   if (out.settings.classes.empty()) throw BadConfig("'categories' names no class");
   out.host = readHost(settings);
@@ -133,13 +188,21 @@
   throw BadConfig(problem.what());
 }
 
+Config readReload(const std::string& path, const Config& running) {
+  Config out = readConfigFile(path);
+  checkNothingMissing(*running.body, *out.body, "");
+  return out;
+}
+
 Config readConfigFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw BadConfig("cannot read '" + path + "'");
   const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
   const Json body = Json::parse(text, nullptr, false);
   if (!body.is_object()) throw BadConfig("'" + path + "' is not a JSON object");
-  return readConfig(body);
+  Config out = readConfig(body);
+  out.body = std::make_shared<const Json>(body);
+  return out;
 }
 
 }  // namespace cometdeal::net
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -4,6 +4,7 @@
 
 #include <cometdeal/aggregator.hpp>
 #include <cstdint>
+#include <memory>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
@@ -32,10 +33,14 @@
   Settings settings;
   HostSettings host;
   std::optional<LeafList> known;
-  std::string grpcFile;   // the gRPC side's own configuration; empty: there is none
-  std::string plansFile;  // of queries in phases; empty: there is none
+  std::string grpcFile;                        // the gRPC side's own configuration; empty: there is none
+  std::string plansFile;                       // of queries in phases; empty: there is none
+  std::shared_ptr<const nlohmann::json> body;  // what it was read from
 };
 Config readConfig(const nlohmann::json& body);   // throws BadConfig
 Config readConfigFile(const std::string& path);  // throws BadConfig
+// One that takes the place of `running`. A key that stands there and not here is missing, unless it may be
+// absent: a file that was cut short, or made for another version, is not half taken. Throws BadConfig.
+Config readReload(const std::string& path, const Config& running);
 
 }  // namespace cometdeal::net
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -97,7 +97,9 @@
 // class, only while leaf servers drop repeats.
 Micros Ledger::repeatsUntil(const Query& q, const Part& part) const {
   const ClassSettings& cls = classOf(q);
-  const bool once = q.asked.exchange && q.asked.exchange->once;
+  // A class that has only now become keyed may be asked without a key: nobody could drop a repeat.
+  const bool once = (q.asked.exchange && q.asked.exchange->once) ||
+                    (cls.effect == Effect::keyed && !q.asked.idempotencyKey && !q.asked.exchange);
   if ((cls.effect == Effect::safe && !once) || PLANTED(keyedAgain)) return INT64_MAX;
   for (const Try& t : part.tries)
     if (t.mayHaveRun)
@@ -474,6 +476,10 @@
   finish(h, {});
 }
 
+bool Ledger::holds(int cls) const {
+  return std::ranges::any_of(queries_.all(), [&](Handle h) { return queries_.get(h)->asked.cls == cls; });
+}
+
 // The one place where a query's end is counted for its class. One whose client has gone has failed.
 void Ledger::countEnd(int cls, FinalAnswer::Kind kind) {
   const std::vector<std::string>& names = rules_->host.classNames;
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -63,6 +63,10 @@
   Ledger(std::shared_ptr<const Rules> rules, Counters* counters)
       : rules_(std::move(rules)), counters_(counters) {}
 
+  // Other settings. What is held keeps its class by its place, whose settings must stay.
+  void retune(std::shared_ptr<const Rules> rules) { rules_ = std::move(rules); }
+  bool holds(int cls) const;  // a query that has not settled has this class
+
   // Every call is at the time set last, in microseconds on the loop's clock.
   void at(Micros now) { now_ = now; }
   std::vector<Command> take() { return std::exchange(commands_, {}); }
--- a/src/core/mixer.cpp
+++ b/src/core/mixer.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 
 #include "log.hpp"
+#include "retune.hpp"
 
 namespace cometdeal::net {
 namespace {
@@ -63,6 +64,16 @@
   if (ledger_.hasEvents()) loop_.wantTurn();
 }
 
+void Mixer::retune(const Settings& settings, const HostSettings& host, int kept) {
+  const auto held = [&](int cls) { return cls < kept || ledger_.holds(cls); };
+  Retune next = net::retune(rules_->settings, rules_->host, settings, host, held, loop_.now());
+  rules_ = std::make_shared<const Ledger::Rules>(Ledger::Rules{next.settings, std::move(next.host)});
+  now().retune(rules_);
+  for (const std::string& name : rules_->host.classNames) counters_.ofClass(name);
+  ledger_.push(Retuned{std::move(next.settings), std::move(next.from)});
+  settle();
+}
+
 void Mixer::list(const LeafList& list, ListKind kind) {
   ListArrived event;
   event.kind = kind;
--- a/src/core/mixer.hpp
+++ b/src/core/mixer.hpp
@@ -30,7 +30,10 @@
   std::size_t open() const { return ledger_.open(); }
   Aggregator::Listed listed() const { return module_.listed(); }
   const HostSettings& host() const { return rules_->host; }
+  const Settings& settings() const { return rules_->settings; }  // classes by place, also those that go
 
+  // Takes other settings; `kept` classes keep their place for good. What is under way goes on as it began.
+  void retune(const Settings& settings, const HostSettings& host, int kept = 0);
   void list(const LeafList& list, ListKind kind);
   void turn();
 
--- a/src/core/settings.hpp
+++ b/src/core/settings.hpp
@@ -34,8 +34,24 @@
   bool mayRetryAfter = false;  // a refusal may say when to come back
   QueryPlans plans;
   std::vector<double> classNeed, classFloor;  // see ClassSettings; what a plan is held to
+  // After settings have changed (see retune), on the loop's clock; empty: all are current, and keys needed.
+  std::vector<Micros> classUntil;  // until when a class is found by its name; INT64_MAX: it is current
+  std::vector<Micros> keyFrom;     // from when on a keyed class needs a key
+
+  int classOf(const std::string& name, Micros now) const;  // its place; -1: there is none of that name
 };
 
+inline int HostSettings::classOf(const std::string& name, Micros now) const {
+  int found = -1;
+  for (std::size_t k = 0; k < classNames.size(); ++k) {
+    if (classNames[k] != name) continue;
+    const Micros until = k < classUntil.size() ? classUntil[k] : INT64_MAX;
+    if (until == INT64_MAX) return int(k);
+    if (until > now) found = int(k);
+  }
+  return found;
+}
+
 struct LeafEntry {
   std::string name;
   Address address;
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -114,9 +114,8 @@
   if (!id || !isWord(*id, 128)) return bad("X-Request-ID is missing or no word");
   q.id = *id;
   const std::string* name = request.header("x-priority-class");
-  const auto cls = std::ranges::find(host.classNames, name ? *name : std::string());
-  if (cls == host.classNames.end()) return bad("unknown class");
-  q.cls = int(cls - host.classNames.begin());
+  q.cls = name ? host.classOf(*name, receivedAt) : -1;
+  if (q.cls < 0) return bad("unknown class");
   const std::string* timeout = request.header("x-timeout");
   const std::optional<double> seconds = timeout ? decimal(*timeout) : std::nullopt;
   if (!seconds || *seconds <= 0 || *seconds > kTimeoutMost) return bad("X-Timeout is missing or no time");
@@ -125,7 +124,8 @@
   if (const std::string* key = request.header("idempotency-key")) {
     if (!isWord(*key, 256)) return bad("Idempotency-Key is no word");
     q.idempotencyKey = *key;
-  } else if (host.classKeyed[std::size_t(q.cls)]) {
+  } else if (host.classKeyed[std::size_t(q.cls)] &&
+             (host.keyFrom.empty() || receivedAt >= host.keyFrom[std::size_t(q.cls)])) {
     return bad("Idempotency-Key is missing");
   }
   const std::string* retried = request.header("x-retried");
@@ -504,7 +504,7 @@
   }
   counters_.add(Count::badRequests);
   const std::string* cls = request.header("x-priority-class");
-  if (cls && std::ranges::count(mixer_.host().classNames, *cls) > 0) ++counters_.ofClass(*cls).aborted;
+  if (cls && mixer_.host().classOf(*cls, loop_.now()) >= 0) ++counters_.ofClass(*cls).aborted;
   logLine("request turned away: %s", read.why.c_str());
   c.keep = false;
   const Json body = {{"error", read.why}};
--- a/src/leaf/frame/links.hpp
+++ b/src/leaf/frame/links.hpp
@@ -96,6 +96,7 @@
   // `name` gives an attempt a name that does not hang on its slot.
   void digest(Digest& to, const std::function<std::string(Handle)>& name) const;
   void countTo(Counters* counters) { counters_ = counters; }
+  void limit(const LinkLimits& limits) { limits_ = limits; }  // from now on; what is open stays
 
  private:
   struct Due {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -160,8 +160,9 @@
   // other's.
   const int sockets = descriptors(config.sockets) / (inherited ? 2 : 1);
   const int forLeaves = std::min(kForLeaves, sockets / 3);
-  LeafSockets leaves(loop,
-                     std::make_unique<Links>(linkLimits(config.host, config.settings, forLeaves), &counters));
+  auto links = std::make_unique<Links>(linkLimits(config.host, config.settings, forLeaves), &counters);
+  Links& frames = *links;
+  LeafSockets leaves(loop, std::move(links));
   std::optional<Grpc> grpc;
   if (!config.grpcFile.empty()) grpc.emplace(loop, counters, config, leaves, forLeaves);
   Mixer mixer(loop, counters, grpc ? static_cast<LeafSide&>(grpc->sides) : leaves, config.settings,
@@ -198,16 +199,23 @@
   logLine("%s: listening on %s:%u", config.name.c_str(), config.listen.host.c_str(),
           unsigned(config.listen.port));
 
-  // A reload takes the address of discovery; queries, connections and the module's state stay as they are.
+  // A reload takes settings and the address of discovery, all or nothing; queries, connections and what the
+  // module has learned stay as they are. What is bound at the start (addresses, seed, limits, other files)
+  // takes a restart.
+  const int keptClasses = grpc ? int(config.settings.classes.size()) : 0;  // its routes name them by place
   std::function<void()> waitReload = [&] {
     signals.reload.async_wait([&](const boost::system::error_code& ec, int) {
       if (ec) return;
       try {
-        const Address next = readConfigFile(path).discovery;
-        discovery.moveTo(next);
+        Config next = readReload(path, config);
+        mixer.retune(next.settings, next.host, keptClasses);
+        frames.limit(linkLimits(next.host, next.settings, forLeaves));
+        discovery.moveTo(next.discovery, next.host.zones);
         counters.add(Count::reloads);
-        logLine("%s: reloaded, discovery at %s:%u", config.name.c_str(), next.host.c_str(),
-                unsigned(next.port));
+        logLine("%s: reloaded, discovery at %s, %d classes", config.name.c_str(),
+                asText(next.discovery).c_str(), int(next.settings.classes.size()));
+        config.settings = next.settings;
+        config.body = next.body;
       } catch (const BadConfig& problem) {  // a bad file must not end what serves by the old one
         counters.add(Count::reloadsFailed);
         logLine("%s: not reloaded: %s", config.name.c_str(), problem.what());
@@ -225,8 +233,6 @@
   };
   waitReport();
   Micros longest = 0, stoppedAt = 0;
-  for (const ClassSettings& cls : config.settings.classes) longest = std::max(longest, cls.deadline);
-  longest = std::min(longest, kDeadlineMost);
   const auto grpcBusy = [&] { return grpc && grpc->server->busy(); };
   std::function<void()> drained = [&] {
     // All that is held is finished first; then the backlog is taken, and what that brought is finished too.
@@ -246,6 +252,8 @@
     if (ec) return;
     logLine("%s: stopping", config.name.c_str());
     stoppedAt = loop.now();
+    for (const ClassSettings& cls : mixer.settings().classes) longest = std::max(longest, cls.deadline);
+    longest = std::min(longest, kDeadlineMost);
     clients.drain(stoppedAt + longest + kDrainLeast - kKillMargin);
     if (grpc) grpc->server->drain(stoppedAt + longest + kDrainLeast - kKillMargin);
     drained();
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -78,10 +78,11 @@
 
 // Another address is another agent, and its versions may be numbered in another way: a watch from the version
 // that the old one told could miss what changed since, so the whole list is asked for.
-void Discovery::moveTo(const Address& address) {
-  if (address == address_) return;
+void Discovery::moveTo(const Address& address, std::vector<std::string> zones) {
+  if (address == address_ && zones == zones_) return;
   stop();
   address_ = address;
+  zones_ = std::move(zones);
   index_.reset();
   gap_ = kGapFirst;
   connect();
--- a/src/membership/discovery.hpp
+++ b/src/membership/discovery.hpp
@@ -25,7 +25,8 @@
   std::function<void(LeafList)> onList;
   void start();
   void stop();
-  void moveTo(const Address& address);  // at once, whatever is under way at the old one
+  // At once, whatever is under way at the old one. Other zones want the whole list read anew.
+  void moveTo(const Address& address, std::vector<std::string> zones);
 
  private:
   struct Connection {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -8,11 +8,13 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <thread>
+#include <tuple>
 
 #include "config/config.hpp"
 #include "core/deadlines.hpp"
 #include "core/ledger.hpp"
 #include "core/mixer.hpp"
+#include "core/retune.hpp"
 #include "core/slots.hpp"
 #include "front/http/clients.hpp"
 #include "http/http.hpp"
@@ -715,8 +717,51 @@
 
 }  // namespace
 
+// Places of classes: what a query holds never changes its meaning, and their number is bounded.
+void retunes() {
+  Settings set;
+  HostSettings host;
+  const auto file = [](std::vector<std::pair<std::string, Micros>> classes) {
+    std::pair<Settings, HostSettings> out;
+    for (const auto& [name, aim] : classes) {
+      out.first.classes.emplace_back().aim = aim;
+      out.second.classNames.push_back(name);
+      out.second.classKeyed.push_back(false);
+      out.second.classNeed.push_back(1);
+      out.second.classFloor.push_back(1);
+    }
+    return out;
+  };
+  std::set<int> held;
+  Micros now = 1000;
+  const auto take = [&](const std::pair<Settings, HostSettings>& next) {
+    Retune out = retune(
+        set, host, next.first, next.second, [&](int k) { return held.contains(k); }, now);
+    set = out.settings;
+    host = out.host;
+    return out.from;
+  };
+  std::tie(set, host) = file({{"a", 1}, {"b", 2}});
+  // b comes first and a changes: b keeps its place, a gets another and what was learned of it.
+  assert((take(file({{"b", 2}, {"a", 3}})) == std::vector<int>{0, 1, 0}));
+  assert(host.classOf("a", now) == 2 && host.classOf("b", now) == 1 && set.classes[2].aim == 3);
+  assert(set.classes[0].aim == 1);
+  // a goes and is found for a while; the place of the first a is free, unless it is held.
+  held = {0};
+  assert((take(file({{"b", 2}, {"c", 4}})) == std::vector<int>{0, 1, 2, -1}));
+  assert(host.classOf("a", now) == 2 && host.classOf("c", now) == 3 && set.classes[0].aim == 1);
+  now += 60'000'000;
+  assert(host.classOf("a", now) == -1 && host.classOf("nobody", now) == -1);
+  held = {};
+  assert((take(file({{"b", 2}, {"c", 4}, {"d", 5}})) == std::vector<int>{-1, 1, 2, 3}));
+  assert(host.classOf("d", now) == 0 && set.classes[0].aim == 5);
+  for (int k = 0; k < 100; ++k, now += 100'000) take(file({{"b", 2}, {"c", 100 + k}}));
+  assert(set.classes.size() <= 6 && host.classOf("c", now) >= 0);
+}
+
 int main() {
   httpRequests();
+  retunes();
   frames();
   slots();
   deadlines();
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -552,6 +552,192 @@
   check(std::filesystem::is_empty(kFolder / "tmp"), "something was left behind");
 }
 
+// Files at SIGHUP that are turned down whole, with the key named, and what was in force stays so.
+void reload() {
+  World w;
+  Process& p = w.start();
+  w.ready(p);
+  const std::filesystem::path file = kFolder / "config1";
+  const std::string good = readFile(file);
+  struct Case {
+    const char *path, *value;  // nothing: the key is taken away
+    const char* said;
+  };
+  std::vector<Case> cases = {
+      {"/settings", "", "'settings' is missing"},
+      {"/listen", "", "'listen' is missing"},
+      {"/discovery", "", "'discovery' is missing"},
+      {"/seed", "", "'seed' is missing"},
+      {"/name", "", "'name' is missing"},
+      {"/limits", "", "'limits' is missing"},
+      {"/limits/sockets", "", "'limits.sockets' is missing"},
+      {"/settings/categories", "", "'categories' is missing"},
+      {"/settings/familyInfo", "", "'familyInfo' is missing"},
+      {"/settings/familyInfo/ranges", "", "'ranges' is missing"},
+      {"/settings/limits", "", "'settings.limits' is missing"},
+      {"/settings/limits/maxAttempts", "", "'settings.limits.maxAttempts' is missing"},
+      {"/settings/safety/drainGrace", "", "'settings.safety.drainGrace' is missing"},
+      {"/settings/tick", "", "'settings.tick' is missing"},
+      {"/settings/categories/0/name", "", "'name' is missing"},
+      {"/settings/categories/1/aim", "", "categories[1].aim' is missing"},
+      {"/settings/categories/0/hardLimit", "", "categories[0].hardLimit' is missing"},
+      {"/settings/categories/0/effect", "", "categories[0].effect' is missing"},
+      {"/settings/categories/0/aim", "0", "categories[0].aim' is 0, expected a number above 0"},
+      {"/settings/categories/0/hardLimit", "0", "categories[0].hardLimit' is 0"},
+      {"/settings/categories/1/hardLimit", "-5.5", "categories[1].hardLimit' is -5.5"},
+      {"/settings/categories/0/hardLimit", "\"2000\"", "hardLimit' is \"2000\""},
+      {"/settings/categories/0/hardLimit", "null", "hardLimit' is null"},
+      {"/settings/categories/0/hardLimit", "[2000]", "hardLimit' is [2000]"},
+      {"/settings/categories/0/hardLimit", "true", "hardLimit' is true"},
+      {"/settings/categories/0/hardLimit", "1e300", "hardLimit' is 1e+300"},
+      {"/settings/limits/maxAttempts", "0", "maxAttempts' is 0, expected a number above 0"},
+      {"/settings/limits/maxAttempts", "-1", "maxAttempts' is -1"},
+      {"/settings/limits/maxAttempts", "\"3\"", "maxAttempts' is \"3\""},
+      {"/settings/limits/maxAttempts", "null", "maxAttempts' is null"},
+      {"/settings/limits/maxAttempts", "0.5", "maxAttempts' is 0.5, expected 1 or more"},
+      {"/settings/categories", "[]", "names no class"},
+      {"/settings/categories/1/name", "\"plain\"", "is 'plain' for the second time"},
+      {"/settings/categories/1/name", "\"\"", "name' is empty"},
+      {"/settings/categories/1/effect", "\"maybe\"", "unknown effect 'maybe'"},
+      {"/settings/familyInfo/ranges", "0", "'ranges' is not a number of shards"},
+      {"/settings/limits/connIdle", "\"long\"", "connIdle"},
+      {"/discovery", "\"nowhere\"", "'nowhere' is not an address"},
+      {"/settings", "[]", "settings"}};
+  std::vector<std::pair<std::string, std::string>> files = {
+      {"", "is not a JSON object"},
+      {"\n", "is not a JSON object"},
+      {"[]", "is not a JSON object"},
+      {good.substr(0, good.size() / 2), "is not a JSON object"},
+      {good.substr(0, good.size() - 1), "is not a JSON object"},
+      {good + good, "is not a JSON object"},
+      {R"({"settings":1e999})", "is not a JSON object"}};
+  for (const Case& c : cases) {
+    Json body = Json::parse(good);
+    const Json::json_pointer at(c.path);
+    if (*c.value)
+      body[at] = Json::parse(c.value);
+    else
+      body[at.parent_pointer()].erase(at.back());
+    files.emplace_back(body.dump(), c.said);
+  }
+  int turnedDown = 0;
+  for (const auto& [text, said] : files) {
+    std::ofstream(file) << text;
+    kill(p.pid, SIGHUP);
+    ++turnedDown;
+    w.until([&] { return vars(p.admin)["sighup_rejected"] == turnedDown; }, "turned down: " + text);
+    const std::string log = readFile(p.log), line = log.substr(log.rfind("not reloaded: "));
+    check(line.find(said) != std::string::npos, "wanted " + said + "\n  got " + line);
+  }
+  std::filesystem::remove(file);
+  kill(p.pid, SIGHUP);
+  w.until([&] { return vars(p.admin)["sighup_rejected"] == turnedDown + 1; }, "no file");
+  check(vars(p.admin)["sighup_applied"] == 0, "a bad file was taken");
+  Load load(w, 4);
+  load.atLeast(100);
+  load.finish();
+  check(load.of("plain", {200}) > 0 && load.of("once", {200}) > 0, "what was in force");
+}
+
+// Classes that come, go and change under requests, and fewer attempts.
+void retune() {
+  World w;
+  Process& p = w.start();
+  w.ready(p);
+  const std::filesystem::path file = kFolder / "config1";
+  const Json begun = Json::parse(readFile(file));
+  int taken = 0;
+  const auto put = [&](const Json& body) {
+    std::ofstream(file) << body.dump();
+    kill(p.pid, SIGHUP);
+    ++taken;
+    w.until([&] { return vars(p.admin)["sighup_applied"] == taken; }, "taken: " + readFile(p.log));
+  };
+  std::map<std::string, int> status;
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  const auto ask = [&](const std::string& id, const std::string& name, const std::string& text,
+                       const std::string& key = "") {
+    HttpQuery q;
+    q.id = id, q.cls = name, q.text = text, q.seconds = 2, q.idempotencyKey = key;
+    clients.push_back(std::make_unique<HttpClient>(w.loop, w.port));
+    clients.back()->ask(q.request(), [&status, id](const HttpMessage& m) { status[id] = m.status; });
+  };
+  const auto answered = [&](const std::string& id, int wanted) {
+    w.until([&] { return status.contains(id); }, "an answer to " + id);
+    check(status[id] == wanted, id + ": status " + std::to_string(status[id]));
+  };
+  const auto seen = [&](const std::string& id) {
+    int out = 0;
+    for (const auto& leaf : w.leaves)
+      for (const auto& part : leaf->seen()) out += part.id.starts_with(id + ".");
+    return out;
+  };
+  // `once` goes and its place shifts, `plain` stays, `fresh` comes ahead of it, twice in a row, while
+  // requests of the old ones are under way.
+  ask("a", "once", "slow");
+  ask("b", "plain", "slow");
+  w.until([&] { return seen("a") + seen("b") == 2; }, "under way");
+  Json next = begun;
+  Json fresh = begun["settings"]["categories"][0];
+  fresh["name"] = "fresh";
+  next["settings"]["categories"] = {fresh, begun["settings"]["categories"][0]};
+  put(next);
+  put(next);
+  answered("a", 200);
+  answered("b", 200);
+  ask("c", "fresh", "t");
+  answered("c", 200);
+  ask("d", "plain", "t");
+  answered("d", 200);
+  // Who was told before asks for it still, for a while; then it is unknown.
+  ask("e", "once", "t");
+  answered("e", 200);
+  int k = 0;
+  w.until(
+      [&] {
+        const std::string id = "f" + std::to_string(++k);
+        ask(id, "once", "t");
+        w.until([&] { return status.contains(id); }, id);
+        return status[id] == 400;
+      },
+      "the end of a class");
+  // A stricter effect: `plain` may no longer be sent again, with what asks from now on.
+  const int tries = [&] {
+    ask("g", "plain", "broken");
+    answered("g", 503);
+    return seen("g");
+  }();
+  check(tries > 1, "a safe part is sent again");
+  next["settings"]["categories"][1]["effect"] = "unsafe";
+  ask("h", "plain", "slow");
+  w.until([&] { return seen("h") == 1; }, "under way");
+  put(next);
+  ask("i", "plain", "broken");
+  answered("i", 504);
+  check(seen("i") == 1, "an unsafe part was sent again");
+  answered("h", 200);
+  // Keyed from now on: a client that was not told yet sends no key, and nothing of it is repeated.
+  next["settings"]["categories"][1]["effect"] = "keyed";
+  next["settings"]["categories"][1]["dedupWindow"] = 5000.0;
+  put(next);
+  ask("j", "plain", "broken");
+  w.until([&] { return status.contains("j"); }, "j");
+  check(seen("j") == 1, "without a key a part was sent again");
+  ask("k", "plain", "broken", "K");
+  w.until([&] { return status.contains("k"); }, "k");
+  check(seen("k") > 1, "with a key it is sent again");
+  // Fewer attempts.
+  next["settings"]["limits"]["maxAttempts"] = 1;
+  put(next);
+  ask("l", "fresh", "broken");
+  answered("l", 503);
+  check(seen("l") == 1, "an attempt too many");
+  kill(p.pid, SIGTERM);
+  w.gone(p, 0);
+  check(p.counter("defects") == 0 && p.counter("backstops") == 0, "defects");
+  check(p.counter("succeeded.fresh") == 1 && p.counter("succeeded.once") >= 2, "figures of classes");
+}
+
 // Signals from before the configuration is read: none is lost, none ends the process in the system's way.
 void early() {
   World w;
@@ -594,7 +780,8 @@
 
 int main(int count, char** names) {
   const std::map<std::string, void (*)()> tests = {{"bad", bad},       {"admin", admin},   {"load", load},
-                                                   {"killed", killed}, {"twenty", twenty}, {"early", early}};
+                                                   {"killed", killed}, {"twenty", twenty}, {"early", early},
+                                                   {"reload", reload}, {"retune", retune}};
   assert(count == 2 && tests.contains(names[1]));
   std::signal(SIGPIPE, SIG_IGN);
   tests.at(names[1])();
