--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 fuzz:
 	cmake -B build-fuzz -DCMAKE_CXX_COMPILER=clang++ -DCOMETDEAL_FUZZ=ON -DCOMETDEAL_TESTS=OFF -DCOMETDEAL_TOOL=OFF
 	cmake --build build-fuzz -j4
-	for t in http frame list query call; do mkdir -p build-fuzz/found/$$t && build-fuzz/cometdeal_fuzz_$$t \
+	for t in http frame list query call config; do mkdir -p build-fuzz/found/$$t && build-fuzz/cometdeal_fuzz_$$t \
 	  -max_total_time=$(FUZZ_SECONDS) -max_len=70000 build-fuzz/found/$$t fuzz/corpus/$$t || exit 1; done
 
 format:
--- a/fuzz/replay.cpp
+++ b/fuzz/replay.cpp
@@ -9,7 +9,7 @@
 int main(int count, char** words) {
   const auto target = count > 2 ? cometdeal::fuzz::target(words[1]) : nullptr;
   if (!target) {
-    std::fprintf(stderr, "usage: replay http|frame|list|query|call FILE...\n");
+    std::fprintf(stderr, "usage: replay http|frame|list|query|call|config FILE...\n");
     return 2;
   }
   for (int k = 2; k < count; ++k) {
--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -9,6 +9,7 @@
 
 #include "admin/calls.hpp"
 #include "config/config.hpp"
+#include "core/retune.hpp"
 #include "front/http/clients.hpp"
 #include "http/http.hpp"
 #include "leaf/frame/frame.hpp"
@@ -123,6 +124,39 @@
   must(reply.size() < 1000, "a reply that echoes without bound");
 }
 
+// A configuration: an error or one that a mixer can serve by, as it starts and as it is read again.
+void config(std::string_view bytes) {
+  const auto body = nlohmann::json::parse(bytes, nullptr, false);
+  if (!body.is_object()) return;
+  Config read;
+  try {
+    read = readConfig(body);
+  } catch (const BadConfig&) {
+    return;
+  }
+  must(!read.settings.classes.empty() && read.host.shards > 0, "nothing to serve");
+  must(read.host.classNames.size() == read.settings.classes.size(), "classes without a name");
+  for (const ClassSettings& cls : read.settings.classes)
+    must(cls.aim > 0 && cls.deadline > 0, "a deadline that is none");
+  must(!read.settings.maxAttempts || *read.settings.maxAttempts >= 1, "no attempt allowed");
+  // Changed to and fro with a query under way in each place: every class is found by its name.
+  Settings set = read.settings;
+  HostSettings host = read.host;
+  for (int k = 0; k < 3; ++k) {
+    Settings next = read.settings;
+    next.classes[0].aim += k % 2;
+    const Retune out = retune(
+        set, host, next, read.host, [k](int) { return k == 1; }, 1000 + k);
+    set = out.settings, host = out.host;
+    must(out.from.size() == set.classes.size() && host.classNames.size() == set.classes.size(),
+         "places differ");
+    for (std::size_t c = 0; c < next.classes.size(); ++c) {
+      const int place = host.classOf(read.host.classNames[c], 1000 + k);
+      must(place >= 0 && set.classes[std::size_t(place)] == next.classes[c], "a class that is not as told");
+    }
+  }
+}
+
 void query(std::string_view bytes) {
   HostSettings host;
   host.classNames = {"plain", "keyed"};
@@ -148,12 +182,13 @@
 }
 
 Target target(std::string_view name) {
-  return name == "http"    ? http
-         : name == "frame" ? frame
-         : name == "list"  ? list
-         : name == "query" ? query
-         : name == "call"  ? call
-                           : nullptr;
+  return name == "http"     ? http
+         : name == "frame"  ? frame
+         : name == "list"   ? list
+         : name == "query"  ? query
+         : name == "call"   ? call
+         : name == "config" ? config
+                            : nullptr;
 }
 
 }  // namespace cometdeal::fuzz
--- a/fuzz/targets.hpp
+++ b/fuzz/targets.hpp
@@ -12,7 +12,9 @@
 void frame(std::string_view bytes);  // frames and answers of leaf servers: bounded, the same in pieces
 void list(std::string_view bytes);   // discovery's lists: read whole or not at all
 void query(std::string_view bytes);
-void call(std::string_view bytes);  // bodies of queries: an error or a query within its bounds
+void call(std::string_view bytes);    // operators' calls: one bounded reply, the same in pieces
+void config(std::string_view bytes);  // configurations, read and read again  // bodies of queries: an error
+                                      // or a query within its bounds
 
 using Target = void (*)(std::string_view);
 Target target(std::string_view name);  // null: there is none of that name
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -35,12 +35,12 @@
   for (const Json& one : info.value(name, Json::array())) out.push_back(one.get<std::string>());
   return out;
 }
-// Above 0, and small enough to count with.
+// Above 0, by a microsecond at least where it is a time, and small enough to count with.
 void checkPositive(const Json& object, const char* name, const std::string& where) {
   const auto at = object.find(name);
   if (at == object.end()) return;
   const double number = at->is_number() ? at->get<double>() : 0.0;
-  if (!(number > 0 && number < 1e12))
+  if (!(number >= 0.001 && number < 1e12))
     throw BadConfig("'" + where + "." + name + "' is " + at->dump() + ", expected a number above 0");
 }
 // Of the classes: deadlines that can be kept, and names that tell them apart.
@@ -94,9 +94,11 @@
     out.classNames.push_back(need(one, "name").get<std::string>());
     out.classKeyed.push_back(one.value("effect", "safe") == "keyed");
   }
-  out.shards = need(need(info, "familyInfo"), "ranges").get<int>();
+  out.shards = integer<int>(need(need(info, "familyInfo"), "ranges"), "ranges");
   const Json limits = info.value("limits", Json::object());
-  out.streams = std::max(1, limits.value("maxStreams", 1));
+  if (limits.contains("maxStreams"))
+    out.streams = std::max(1, integer<int>(limits["maxStreams"], "maxStreams"));
+  checkPositive(limits, "connectTimeout", "settings.limits");
   out.connectTimeout = Micros(limits.value("connectTimeout", 1000.0) * 1000.0);
   out.mayRetryAfter = limits.value("retryAfter", false);
   return out;
