Let in fewer queries while parts are refused; copy what a doubted server owes without a token

Changed in the module: judgeJam and admit (share let in, prior shared by all instances), send (time-out at the aim in a jam and where nothing is earned after it), drive (refused parts paced in a jam; copies of what a doubted server owes), ages of samples.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,13 +16,14 @@
 constexpr double kHedgePercentile = 0.95;
 constexpr std::size_t kSampleWindow = 1000;  // recent part latencies of a class
 constexpr std::size_t kNewestWindow = 60;    // the same, to follow at once what slows all servers together
-constexpr std::size_t kMinSamples = 10;      // before that, the delay is aim / kStartDelayParts
+constexpr Micros kNewestSpan = 2 * kSecond;
+constexpr std::size_t kMinSamples = 10;  // before that, the delay is aim / kStartDelayParts
 constexpr Micros kStartDelayParts = 5, kMinDelay = 1 * kMs;
 constexpr double kBucketSize = 10.0, kBucketEarn = 0.1, kBucketCost = 1.0;
 constexpr int kOverflowFactor = 2, kOverflowPlus = 1;  // home is left at load > factor x mean + plus
 
 constexpr Micros kLook = 10 * kMs;  // how often open queries are looked at; 5 to 20 ms make no difference
-// Between two looks at all of them at least this share of a tick, and so much for each: a jam would feed
+// Between two looks at all of them at least this share of a tick, and so much for each: or a jam feeds
 // itself.
 constexpr double kLookShare = 0.8;
 constexpr Micros kLookEach = 20;
@@ -35,7 +36,6 @@
 constexpr double kSilentDelays = 2.0, kFailureRatio = 5.0;
 constexpr double kLatencyGain = 0.2;  // weight of the newest latency in a server's mean
 constexpr double kPrior = 1.0;        // latencies that the peers' median counts for
-// Failures of connections that had been unused, and resets, are common at so many servers within the span.
 constexpr int kIdleWitnesses = 2, kDeathServers = 2;
 constexpr Micros kOutliveSpan = 2 * kSecond;  // a server that serves so soon after a reset has outlived it
 constexpr Micros kIdleSpan = 10 * kSecond, kDeathSpan = 10 * kSecond, kIdleDistrust = 30 * kSecond;
@@ -43,22 +43,23 @@
 constexpr Micros kTrialFirst = 500 * kMs, kTrialMost = 4 * kSecond;  // between trials of a server in doubt
 // A path is in doubt with so many late, most of all, while another has so many in time, and few late.
 constexpr double kPathQueries = 1.5, kPathLeast = 3.0, kPathBad = 0.8, kPathGood = 0.35;
-constexpr Micros kRefuseSpan = 2 * kSecond;  // a server that refused within it counts as full
-constexpr double kRefuseShare = 0.25;        // of the servers: with more that refuse the fleet is full
-constexpr Micros kForgetSpan = 10 * kSecond, kPathSpan = 3 * kSecond, kRateSpan = 3 * kSecond;  // of counts
+// The share of queries let in falls while more than kFullMost of the parts are refused, and grows by kInGain
+// a second without. The prior is of parts without a refusal, shared by all instances: so many see the same.
+constexpr double kFullMost = 0.01, kInGain = 0.5, kInLeast = 0.1, kRefuseShare = 0.25, kFullPrior = 3000.0,
+                 kMostIn = 0.8;
+constexpr Micros kFullSpan = 1 * kSecond, kForgetSpan = 10 * kSecond, kPathSpan = 3 * kSecond,
+                 kRateSpan = 3 * kSecond;  // of counts
 
 constexpr Micros kAskFirst = 300 * kMs, kAskMost = 5 * kSecond;  // back-off between calls to discovery
 
 // All servers stand still when nothing came for so many usual gaps between answers while so many of them owe.
-// So much of it counts as no time at all. A quiet in which fewer owe holds copies back for less; rare answers
-// prove nothing.
+// So much of it counts as no time. A quiet in which fewer owe holds copies back for less.
 constexpr double kStillGaps = 4.0;
 constexpr int kStillServers = 4;
 constexpr Micros kStillMost = 600 * kMs, kQuietMost = 150 * kMs, kStillBegin = 40 * kMs;
 
 // A copy of what still runs needs signs of life: an answer within a usual gap, and answers for so long since
-// the last standstill ended, or the answer that the copy was made against comes in the same instant as all
-// others.
+// the last standstill ended, or the answer it was made against comes with all others.
 constexpr Micros kFlowLeast = 1 * kMs, kFlowSettle = 5 * kMs;
 
 constexpr double kAdmitShare = 0.65;  // of the time to its aim, that a query's parts may be expected to take
@@ -162,17 +163,16 @@
   std::vector<Part> parts;
 };
 
-// ---- Latency tracker and token bucket (the design) -------------------------------------------------------
 struct Tracker {
   std::deque<Micros> recent;
-  std::deque<Micros> newest;
+  std::deque<Micros> newest, newestAt;
   Micros p95 = 0, median = 0;
   int unsorted = 0;
-  void add(Micros latency) {
+  void add(Micros now, Micros latency) {
     recent.push_back(latency);
-    newest.push_back(latency);
+    newest.push_back(latency), newestAt.push_back(now);
     if (recent.size() > kSampleWindow) recent.pop_front();
-    if (newest.size() > kNewestWindow) newest.pop_front();
+    if (newest.size() > kNewestWindow) newest.pop_front(), newestAt.pop_front();
     if (recent.size() <= 4 * kMinSamples || ++unsorted >= 8) refresh();
   }
   static Micros at(const std::deque<Micros>& from, double q) {
@@ -186,6 +186,13 @@
     median = at(newest, 0.5);
     p95 = std::max(at(recent, kHedgePercentile), at(newest, kHedgePercentile));
   }
+  // Old ones would refuse on, for a refusal brings no newer ones: with few young ones all of them count.
+  void age(Micros before) {
+    const auto young = std::ranges::count_if(newestAt, [&](Micros when) { return when >= before; });
+    if (!ready()) return;
+    median = at(young < std::ptrdiff_t(kMinSamples) ? recent : std::deque(newest.end() - young, newest.end()),
+                0.5);
+  }
   bool ready() const { return recent.size() >= kMinSamples; }
 };
 
@@ -228,6 +235,9 @@
   std::vector<std::int64_t> touched;  // groups that the events of this turn concern
   Micros askAt = -1, askedAt = -1, askGap = kAskFirst;
   bool subscribed = false;
+  double worthMost = 0.0, letIn = 1.0;         // share of queries, less while parts are refused
+  double partsSeen = 0.0, partsRefused = 0.0;  // decaying counts
+  Micros judgedAt = 0;
   std::vector<double> shareTokens;  // of tenants
   Micros shareAt = 0;
 
@@ -246,16 +256,16 @@
     set.cells = std::max(1, set.cells);
     set.reach = std::max(1, set.reach);
     placeHolders();
+    worthMost = 0.0;
+    for (const ClassSettings& cls : set.classes) worthMost = std::max(worthMost, cls.worth);
   }
 
-  // Between 0 and 1, by the instance's seed.
   double draw(std::uint64_t what, const std::string& id) const {
     return double(hashText(mix(salt + what), id) >> 11) / 9007199254740992.0;
   }
   Micros endMargin() const { return kEndTicks * set.tick + kEndMargin; }
   const ClassSettings& classOf(const Query& q) const { return set.classes[std::size_t(q.cls)]; }
 
-  // ---- Membership ----------------------------------------------------------------------------------------
   void on(const ListArrived& list) {
     if (list.kind == ListKind::unavailable) {
       if (!set.mustAskDiscovery) return;
@@ -303,7 +313,6 @@
     });
   }
 
-  // A restored list may be old: where discovery must be asked, ask at once, and again after every failure.
   void followDiscovery() {
     if (!set.mustAskDiscovery) return;
     const Micros patience = set.askWithin.value_or(10 * kSecond) / 2;
@@ -316,11 +325,9 @@
   std::size_t at(int cell) const { return std::size_t((cell % set.cells + set.cells) % set.cells); }
   const std::vector<Server*>& holders(int shard) const { return shardHolders[at(shard)]; }
 
-  // ---- Replica health and cold allowance -----------------------------------------------------------------
   double doneRate(const Server& s) const {
     return s.doneRate * std::exp(-double(now - s.rateAt) / double(kRateSpan));
   }
-  // How much longer a part of this class takes than any part. A slowness of all cancels out.
   double sizeOf(int cls) const {
     const Tracker& t = trackers[std::size_t(cls)];
     if (!t.ready() || !pooled.ready()) return 1.0;
@@ -337,8 +344,7 @@
     }
     warmRate = doneTotal / std::max(1, warm);
   }
-  // Few answers come from each server, so its own mean counts by how many there were lately, the peers' for
-  // the rest; what is old is forgotten, or a server that looked slow once would never be asked again.
+  // A server's own mean counts by how many answers there were lately, the peers' for the rest.
   double evidence(const Server& s) const {
     return s.evidence * std::exp(-double(now - s.learnedAt) / double(kForgetSpan));
   }
@@ -361,7 +367,6 @@
     s.doubt.on = false;
     s.evidence = 0.0;
   }
-  // A withdrawn or overdue attempt tells at least how long it took so far.
   void learnLatency(Server& s, double latency, bool censored) {
     if (peerMean <= 0 || (censored && latency <= expected(s))) return;
     s.evidence = evidence(s) + 1.0;
@@ -370,13 +375,11 @@
     s.mean += gain * (latency - s.mean);
     s.ratio += gain * (latency / peerMean - s.ratio);
   }
-  // A connection unused for long may be dead while its server is well: such an attempt doubts nobody. When
-  // several show it, connections are closed before use after half the shortest pause that failed.
+  // When several connections unused for long fail, they are closed after half the shortest pause that failed.
   Micros idleBefore(const Server& s) const {
     const Micros idle = now - s.connUsed;
     return idle < kIdleLeast || idle > set.connIdle.value_or(kNever) ? 0 : idle;
   }
-  // Servers that have shown something within the span.
   int shown(Micros Server::*when, Micros span) const {
     return int(std::ranges::count_if(servers, [&](const auto& e) { return e.second.*when > now - span; }));
   }
@@ -384,9 +387,8 @@
     const bool common = shown(&Server::idleFailedAt, kIdleDistrust) >= kIdleWitnesses;
     return common && now < idleTrustedFrom && now > newAreDear ? idleTrusted : kNever;
   }
-  // What holds up all servers at once is the way to them or this machine. That time makes no part late and no
-  // server silent: a copy would wait with the rest, or go out as all moves again, in the instant before the
-  // answers. Called ahead of a turn's events, for these end the quiet.
+  // What holds up all servers at once is the way to them or this machine: no part is late for it and no
+  // server silent. Called ahead of a turn's events, for these end the quiet.
   void noteStandstill() {
     const double gaps = kStillGaps * usualGap();
     const Micros from = std::max(heardAt + Micros(gaps), lookedAt), to = std::min(now, heardAt + kStillMost);
@@ -407,7 +409,6 @@
     if (now - heardAt > (manyOwe() ? kStillMost : kQuietMost)) return true;
     return now - heardAt <= std::max(kFlowLeast, Micros(usualGap())) && now - flowsSince >= kFlowSettle;
   }
-  // For how long it has waited, less what stood still.
   Micros age(const Attempt& a) const { return now - a.sentAt - (stood - a.stoodAtSend); }
   bool lostOnIdle(const Query& q, const Attempt& a) const {
     if (a.idle <= 0 || a.server->lastHeard >= a.sentAt || newestServed <= a.sentAt) return false;
@@ -430,8 +431,7 @@
     idleTrusted = std::max(kIdleLeast, shortest);
     idleTrustedFrom = now + kIdleDistrust;
   }
-  // A query may kill whatever begins a part of it. After a reset, or where it is a repeat and resets are
-  // common, it sends one part at a time until one is served, and is given up when that one is reset.
+  // After a reset, or a repeat where resets are common, a query that may kill sends one part at a time.
   bool suspect(const Query& q) const { return !q.proven && (q.resets > 0 || q.cautious); }
   bool mayAdd(const Query& q) const {
     if (!suspect(q)) return true;
@@ -445,18 +445,24 @@
     q.condemned = a.lone && !q.proven;
     if (a.idle <= idleLimit()) a.server->lastReset = now;
   }
-  // A connection may break while its server is well. Where several servers lately served soon after a reset,
-  // the first reset of a server doubts it no longer; the next does, unless it has answered in between.
+  // Where several servers lately served soon after a reset, a server's first doubts it no longer.
   bool outlives(Server& s) {
     const bool again = s.brokenAt > s.lastAnswered && s.brokenAt < now;
     s.brokenAt = now;
     return !again && shown(&Server::outlivedAt, kDeathSpan) >= kDeathServers;
   }
-  bool manyRefuse() const { return shown(&Server::refusedAt, kRefuseSpan) > kRefuseShare * servers.size(); }
+  void judgeJam() {
+    if (shown(&Server::refusedAt, 2 * kFullSpan) == 0) partsRefused = 0.0;
+    const double span = double(std::min(now - std::exchange(judgedAt, now), kSecond));
+    const double full = partsRefused / (partsSeen + kFullPrior / std::max(1, set.instances));
+    const double kept = std::exp(-span / double(kFullSpan));
+    letIn = std::clamp(letIn + kInGain * span / kSecond * (1.0 - full / kFullMost), kInLeast, 1.0);
+    partsSeen *= kept, partsRefused *= kept;
+  }
+  bool manyRefuse() const { return shown(&Server::refusedAt, kFullSpan) > kRefuseShare * servers.size(); }
   bool seasonOfDeaths() const { return shown(&Server::lastReset, kDeathSpan) >= kDeathServers; }
   // The path to a zone is in doubt when most of what went there is late and of another zone little; then it
-  // is left but for trials. Holds for cut, slow and lossy links and lost zones; may hurt where a zone's
-  // servers are slower.
+  // is left but for trials. May hurt where a zone's servers are slower.
   void count(const Query& q, Attempt& a, bool inTime) {
     if (a.call <= a.server->votedCall) return;  // a call has one vote
     a.server->votedCall = a.call;
@@ -492,8 +498,7 @@
   }
   bool pathTrialDue(const Server& s) const { return now >= paths.at(s.zone).doubt.nextTrial; }
 
-  // Out of step with its peers, by what is still out. Silent: it owes answers for long and has said nothing
-  // since, while another server has already served what was sent later. If all are, no one.
+  // Silent: it owes answers for long, while another has already served what was sent later. If all, no one.
   void judgeOverdue() {
     for (auto& [id, s] : servers) s.overdue = 0.0;
     for (auto& [group, q] : queries)
@@ -520,8 +525,7 @@
   bool trialDue(const Server& s) const { return s.doubt.on && now >= s.doubt.nextTrial && s.partsOut == 0; }
 
   // Of the queries that would go to a cold server the share passes that it can take by now, half the rule's
-  // multiple of its surely grown capacity, by a draw for each query, server and window: so bundles stay whole
-  // and the sum over many instances with little traffic is right. One instance is held to that share as well.
+  // multiple of its surely grown capacity, by a draw: so the sum over many instances is right, each thin.
   bool coldAllows(const Query& q, Server& s) {
     if (!set.cold || set.cold->window <= 0 || now - s.coldSince >= set.cold->warmAfter) return true;
     const ColdRule& rule = *set.cold;
@@ -540,18 +544,15 @@
     return std::max(kMinDelay, t.ready() ? t.p95 : set.classes[std::size_t(cls)].aim / kStartDelayParts);
   }
 
-  // ---- Choosing replicas ---------------------------------------------------------------------------------
   int load(const Server& s) const { return set.bundleMax > 1 ? int(s.callsOut.size()) : s.partsOut; }
-  // Expected latency of one more part: the server's recent latency, scaled by what is out there. Of the
-  // others' work only the mean is known: each instance has about as much out as this one usually does.
+  // Of one more part, scaled by what is out there: of others' work as much each as this one usually has.
   Micros predict(const Server& s, int cls) const {
     const double others = (set.instances - 1) * s.outMean;
     const double queue = (s.partsOut + 1 + others + kIdleParts) / (s.outMean + 1 + others + kIdleParts);
     const double mean = peerMean > 0 ? expected(s) : double(baseDelay(cls)) / 2;
     return Micros(mean * sizeOf(cls) * std::min(queue, kLoadRatioMost));
   }
-  // Where calls are shared, neighbouring shards of a query shall share a home; where they are not, that would
-  // only pile a query's parts onto one server, so the shard goes into the hash as well.
+  // Neighbouring shards share a home only where calls are shared: else a query's parts pile onto one server.
   std::uint64_t rank(const Query& q, int shard, const Server& s) const {
     const std::uint64_t spread = set.bundleMax > 1 && q.keyed ? 0 : mix(std::uint64_t(shard) + 1);
     return hashText(q.keyHash ^ spread, s.id);
@@ -560,7 +561,6 @@
     return std::any_of(p.attempts.begin(), p.attempts.end(),
                        [&](const Attempt& a) { return a.server == s && (a.live || !liveOnly); });
   }
-  // What may not be answered goes with a part that can be sent again at once.
   bool mayTry(const Query& q) const {
     return classOf(q).effect != Effect::unsafe && buckets[std::size_t(q.cls)].canPay();
   }
@@ -568,8 +568,7 @@
     if (pathDoubted(s) && !(pathTrialDue(s) && mayTry(q))) return false;
     return !s.doubt.on || (trialDue(s) && mayTry(q));
   }
-  // First send: the key's home, or the least loaded holder when home is far above the shard's mean. Servers
-  // in doubt count as absent unless every holder is.
+  // First send: the key's home, or the least loaded. In doubt is as good as absent, unless all are.
   Server* firstTarget(const Query& q, const Part& p) {
     std::vector<Server*> all = holders(p.shard), good;
     for (Server* s : all)
@@ -606,7 +605,6 @@
     return best;
   }
 
-  // ---- The gate: every send passes here, and here the rules are checked ----------------------------------
   bool budgetAllows() {
     if (!set.budget) return true;
     const Micros from = now - set.budget->window;
@@ -652,11 +650,12 @@
     s->doubt.tried(now);
     if (pathDoubted(*s)) paths.at(s->zone).doubt.tried(now);
     p.spare = false;
-    out.push_back(Send{p.id, s->id, q.deadlineAt - now});
+    // In a jam what would come too late is not even begun.
+    const bool toAim = !q.terms && (letIn < 1.0 || classOf(q).lateShare <= 0) && now < q.aimAt;
+    out.push_back(Send{p.id, s->id, (toAim ? q.aimAt : q.deadlineAt) - now});
     return true;
   }
 
-  // ---- Hedging and retries -------------------------------------------------------------------------------
   // Late: it outlives the delay, or the last moment for a copy has come, or its server or way is in doubt.
   bool isLate(const Query& q, const Part& p) const {
     const Micros usual = std::max(kMinDelay, trackers[std::size_t(q.cls)].median);
@@ -687,15 +686,15 @@
       if (live && p.attempts.size() > 1) continue;
       const Attempt& last = p.attempts.back();
       const bool refused = !live && last.refused;
-      // The last attempt is not burnt within milliseconds on holders that fail or refuse at once.
       const bool final = set.maxAttempts && int(p.attempts.size()) + 1 >= *set.maxAttempts;
-      if (final && !live && now - last.sentAt < baseDelay(q.cls) / 2) continue;
-      const bool owedByLost = live && (last.lost || pathDoubted(*last.server));
+      if ((final || (refused && letIn < 1.0)) && !live && now - last.sentAt < baseDelay(q.cls) / 2) continue;
+      const bool owedByLost = live && (last.lost || last.server->doubt.on || pathDoubted(*last.server));
       if (live && !flows()) continue;
       Bucket& bucket = buckets[std::size_t(q.cls)];
-      // What failed is replaced from an empty bucket too: nothing of it runs. What was refused for lack of
-      // room only while few servers refuse: a full fleet must not be asked again for free.
-      if (!bucket.canPay() && (refused ? manyRefuse() : live && !owedByLost)) continue;
+      // What failed is replaced from an empty bucket too. What was refused for lack of room only out of a
+      // jam, or where most of its query is in and would have run for nothing.
+      const bool paid = refused ? manyRefuse() || (letIn < 1.0 && shareIn(q) < kMostIn) : live && !owedByLost;
+      if (paid && !bucket.canPay()) continue;
       Server* target = copyTarget(q, p);
       // A copy that would come too late, as in a burst when all replicas are full, is only more load.
       const Micros by = now < q.aimAt ? q.aimAt : q.deadlineAt;
@@ -736,6 +735,7 @@
       a.live = false, a.refused = e.outcome == Outcome::busy;
       if (e.outcome == Outcome::done) count(q, a, now - a.sentAt <= baseDelay(q.cls));
       if (a.refused) a.server->refusedAt = now;
+      if (e.outcome == Outcome::done || a.refused) partsSeen += 1.0, partsRefused += a.refused ? 1.0 : 0.0;
       Server& s = *a.server;
       if (!a.lost) release(a);
       a.mayHaveRun =
@@ -767,8 +767,8 @@
         newestServed = std::max(newestServed, a.sentAt);
         s.doneRate = doneRate(s) + double(kSecond) / double(kRateSpan), s.rateAt = now;
         s.outMean += kLatencyGain * (a.outAtSend - s.outMean);
-        trackers[std::size_t(q.cls)].add(now - a.sentAt);
-        pooled.add(now - a.sentAt);
+        trackers[std::size_t(q.cls)].add(now, now - a.sentAt);
+        pooled.add(now, now - a.sentAt);
         buckets[std::size_t(q.cls)].earn();
         if (s.doubt.on) clear(s);
         learnLatency(s, latency, false);
@@ -801,7 +801,6 @@
     }
   }
 
-  // ---- Answering; end is the one place where a query ends ------------------------------------------------
   void cancel(Part& p, std::size_t k) {
     Attempt& a = p.attempts[k];
     if (!a.live || a.cancelled || a.lost || !set.mayCancel) return;
@@ -899,7 +898,6 @@
     if (complete && possible < floor - kWeightSlack) return giveUp(q);
   }
 
-  // ---- Admission -----------------------------------------------------------------------------------------
   void on(const QueryArrived& e) {
     if (set.budget) taken.push_back(now);
     if (queries.contains(e.group)) return;
@@ -954,9 +952,9 @@
     if (q.overShare) value *= set.overShareWorth.value_or(1.0);
     if (pastAim) value *= cls.lateShare;
     if (value <= 0) return giveUp(q);
+    if (draw(std::uint64_t(q.group), "let in") >= std::pow(letIn, worthMost / cls.worth)) return giveUp(q);
     pickParts(q);
-    // Pressure shows against the class's aim; a client with little time is no sign of it. What can't be had
-    // in time from enough shards is refused whole, or the rest of it is work for nothing.
+    // Pressure shows against the class's aim. What can't be had in time from enough shards is refused whole.
     const double most = kAdmitShare * (kValueLeast + (1.0 - kValueLeast) * value) * double(cls.aim);
     const double room = double((pastAim ? q.deadlineAt : q.aimAt) - now);
     double expected = 0, asked = 0, inTime = 0;
@@ -974,7 +972,6 @@
     q.fresh = false;
   }
 
-  // ---- Entry point ---------------------------------------------------------------------------------------
   void on(const TimerFired&) {
     if (now >= timerAt) timerAt = -1, nextLook = now;  // a look is due
   }
@@ -1006,6 +1003,9 @@
     if (now >= nextLook) {
       compareServers();
       judgeOverdue();
+      judgeJam();
+      for (Tracker& t : trackers) t.age(now - kNewestSpan);
+      pooled.age(now - kNewestSpan);
       for (auto& [group, q] : queries) look(q);
       nextLook = now + std::max(Micros(kLookShare * double(set.tick)), kLookEach * Micros(queries.size()));
     } else {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1107,4 +1107,38 @@
   EXPECT_EQ(run(), run());
 }
 
+// Of a large fleet each instance sees little, and what the servers turn away is lost work: fewer queries are
+// let in while parts are refused, and all of them soon after. A small fleet's few refusals close nothing.
+TEST(Admission, WhileServersTurnPartsAwayALargeFleetLetsInFewerQueriesAndAllOfThemAfterwards) {
+  for (const int instances : {300, 1}) {
+    Settings set = plainSettings();
+    set.instances = instances;
+    Rig rig(set);
+    rig.servers(fleet(12));
+    rig.warm(30, 20 * ms);
+    std::size_t ended = rig.sends.size();
+    const auto play = [&](int queries, std::size_t refusedOneIn) {
+      int atOnce = 0;  // refused as they come, with nothing asked for them
+      for (int k = 0; k < queries; ++k) {
+        const std::size_t before = rig.refusals.size();
+        const std::string id = rig.query(8);
+        atOnce += rig.refusals.size() > before && rig.refusals.back().query == id;
+        rig.pass(20 * ms);
+        for (; ended < rig.sends.size(); ++ended)
+          rig.finish(ended, refusedOneIn > 0 && ended % refusedOneIn == 0 ? Outcome::busy : Outcome::done);
+        rig.pass(80 * ms);
+      }
+      return atOnce;
+    };
+    EXPECT_EQ(play(20, 0), 0);
+    const int jam = play(60, 4);
+    if (instances > 1)
+      EXPECT_GE(jam, 20);
+    else
+      EXPECT_EQ(jam, 0);
+    rig.pass(4000 * ms);
+    EXPECT_EQ(play(20, 0), 0) << instances;
+  }
+}
+
 }  // namespace
