--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -76,7 +76,9 @@
     throw BadConfig("'" + where + "' is of type " + kindOf(next) + ", expected " + kindOf(was));
   if (was.is_object() && next.is_object()) {
     for (const auto& [name, value] : was.items()) {
-      const std::string path = where.empty() ? name : where + "." + name;
+      std::string path = where;
+      if (!path.empty()) path += '.';
+      path += name;
       if (std::ranges::count(kMayLack, name) > 0) continue;
       if (!next.contains(name)) throw BadConfig("'" + path + "' is missing");
       checkNothingMissing(value, next[name], path);
