--- a/src/admin/server.cpp
+++ b/src/admin/server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/listen.hpp"
 #include "core/log.hpp"
 
 namespace cometdeal::net {
@@ -65,12 +66,7 @@
       acceptor_(loop.strand) {}
 
 void AdminServer::listen(const Address& address) {
-  const tcp::endpoint at(boost::asio::ip::make_address(address.host), address.port);
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
-  acceptor_.non_blocking(true);
+  listenAt(acceptor_, address);
   Acceptor{this}();
 }
 
--- a/src/front/grpc/server.cpp
+++ b/src/front/grpc/server.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/listen.hpp"
 #include "core/log.hpp"
 
 namespace cometdeal::net {
@@ -88,11 +89,7 @@
 }
 
 void GrpcServer::listen() {
-  const tcp::endpoint at(boost::asio::ip::make_address(config_.listen.host), config_.listen.port);
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
+  listenAt(acceptor_, config_.listen);
   Acceptor{this}();
 }
 
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -13,6 +13,7 @@
 
 #include "config/config.hpp"
 #include "config/json.hpp"
+#include "core/listen.hpp"
 #include "core/log.hpp"
 #include "phases/read.hpp"
 
@@ -260,12 +261,7 @@
       acceptor_(loop.strand) {}
 
 void Clients::listen(const Address& address) {
-  const tcp::endpoint at(boost::asio::ip::make_address(address.host), address.port);
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen(boost::asio::socket_base::max_listen_connections);
-  acceptor_.non_blocking(true);
+  listenAt(acceptor_, address);
   Acceptor{this}();
 }
 
