Take the aged median again only when samples changed; one way to write an address

Tracker::age copied and searched up to 1,000 samples a class at every look, though nothing had come; it is kept while the samples and the number of young ones are the same, so its value is. host:port was put together in main, clients and discovery: asText, beside Address.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -167,10 +167,10 @@
   std::deque<Micros> recent;
   std::deque<Micros> newest, newestAt;
   Micros p95 = 0, median = 0;
-  int unsorted = 0;
+  std::ptrdiff_t unsorted = 0, aged = -1;  // aged: how many were young when the median was last aged
   void add(Micros now, Micros latency) {
     recent.push_back(latency);
-    newest.push_back(latency), newestAt.push_back(now);
+    newest.push_back(latency), newestAt.push_back(now), aged = -1;
     if (recent.size() > kSampleWindow) recent.pop_front();
     if (newest.size() > kNewestWindow) newest.pop_front(), newestAt.pop_front();
     if (recent.size() <= 4 * kMinSamples || ++unsorted >= 8) refresh();
@@ -189,7 +189,7 @@
   // Old ones would refuse on, for a refusal brings no newer ones: with few young ones all of them count.
   void age(Micros before) {
     const auto young = std::ranges::count_if(newestAt, [&](Micros when) { return when >= before; });
-    if (!ready()) return;
+    if (!ready() || std::exchange(aged, young) == young) return;
     median = at(young < std::ptrdiff_t(kMinSamples) ? recent : std::deque(newest.end() - young, newest.end()),
                 0.5);
   }
--- a/src/core/settings.hpp
+++ b/src/core/settings.hpp
@@ -17,6 +17,9 @@
   std::uint16_t port = 0;
   bool operator==(const Address&) const = default;
 };
+inline std::string asText(const Address& address) {
+  return address.host + ":" + std::to_string(address.port);
+}
 
 // Plans in phases, where the installation has them.
 struct QueryPlans {
--- a/src/front/http/clients.cpp
+++ b/src/front/http/clients.cpp
@@ -267,8 +267,7 @@
 
 void Clients::adopt(int descriptor, const Address& address) {
   const std::string what = "descriptor " + std::to_string(descriptor) + " ";
-  const std::string wanted =
-      ", expected a TCP socket that listens on " + address.host + ":" + std::to_string(address.port);
+  const std::string wanted = ", expected a TCP socket that listens on " + asText(address);
   const auto option = [descriptor](int name) {
     int value = 0;
     socklen_t size = sizeof value;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -120,8 +120,6 @@
   return out;
 }
 
-std::string asText(const Address& address) { return address.host + ":" + std::to_string(address.port); }
-
 // The configuration and the environment both name it; a process that trusted one of two would take the
 // other's place.
 std::optional<Address> adminAddress(const Config& config) {
--- a/src/membership/discovery.cpp
+++ b/src/membership/discovery.cpp
@@ -97,7 +97,7 @@
 std::string Discovery::nextRequest() const {
   std::string target = "/discovery/hosts";
   if (index_) target += "?since=" + std::to_string(*index_) + "&timeout_ms=" + std::to_string(kWaitMs);
-  return writeGet(target, address_.host + ":" + std::to_string(address_.port));
+  return writeGet(target, asText(address_));
 }
 
 void Discovery::expect(Micros patience) {
