Do not forward queries of clients that closed before they were read; count the wait

Cause: at the limit of client connections requests, and the close behind them, wait in the kernel. The end of the stream was noticed only by the read after the request's, which comes after the turn that sends the parts; and the deadline ran from the read, not from the arrival.

Evidence: TCP_INFO tells how long ago the last bytes arrived.

Change: the time of a request runs from its arrival as the kernel reports it (HTTP, pipelined HTTP, gRPC), and before a query is submitted the kernel is asked whether the client has closed. Why it works: both facts are the kernel's at that moment, whatever is still unread.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -18,6 +18,8 @@
       "refused",
       "failed",
       "clients_gone",
+      "clients_gone_unread",
+      "requests_delayed",
       "backstops",
       "defects",
       "sends",
--- a/src/front/grpc/calls.cpp
+++ b/src/front/grpc/calls.cpp
@@ -49,6 +49,7 @@
     : context_(std::move(context)),
       name_(std::move(name)),
       now_(now),
+      inputArrivedAt_(now),
       session_(Session::Role::server, limits(*context_->config)) {}
 
 GrpcCalls::~GrpcCalls() { connectionEnded(); }
@@ -58,7 +59,8 @@
   while (!calls_.empty()) removeCall(calls_.begin()->first);
 }
 
-bool GrpcCalls::received(std::string_view bytes) {
+bool GrpcCalls::received(std::string_view bytes, Micros arrivedAt) {
+  inputArrivedAt_ = arrivedAt;
   const bool good = session_.received(bytes, now_);
   if (good) receivedHttp2_ = true;
   while (session_.hasEvents())
@@ -140,7 +142,7 @@
   }
   Call call;
   call.route = route;
-  call.deadline = std::min(now_ + timeLimit - kNetworkAllowance, drainDeadline_);
+  call.deadline = std::min(inputArrivedAt_ + timeLimit - kNetworkAllowance, drainDeadline_);
   NewQuery& q = call.query;
   q.id = name_ + "." + std::to_string(id);
   q.cls = route->cls;
--- a/src/front/grpc/calls.hpp
+++ b/src/front/grpc/calls.hpp
@@ -53,9 +53,10 @@
 
   // Sets the time, on the loop's clock, at which the following calls are made.
   void setNow(Micros now) { now_ = now; }
-  // Processes bytes from the socket. Returns false if the connection cannot continue: the caller then writes
-  // the pending output and closes.
-  bool received(std::string_view bytes);
+  // Processes bytes from the socket. `arrivedAt`: when they reached this machine, on the loop's clock; the
+  // deadlines of the calls that begin with them run from then. Returns false if the connection cannot
+  // continue: the caller then writes the pending output and closes.
+  bool received(std::string_view bytes, Micros arrivedAt);
   // The next bytes for the socket; empty if there is nothing to send now.
   std::string_view nextBytes();
   // Reports how many of those bytes the socket accepted.
@@ -118,6 +119,7 @@
   std::shared_ptr<const FrontContext> context_;
   std::string name_;
   Micros now_;
+  Micros inputArrivedAt_;  // of the bytes last passed to received()
   http2::Session session_;
   std::map<std::int32_t, Call> calls_;
   std::vector<std::int32_t> dirty_;  // calls whose request or reply has changed
--- a/src/front/grpc/server.cpp
+++ b/src/front/grpc/server.cpp
@@ -4,6 +4,7 @@
 
 #include "core/listen.hpp"
 #include "core/log.hpp"
+#include "core/receive_status.hpp"
 
 namespace cometdeal::net {
 namespace {
@@ -29,12 +30,7 @@
     BOOST_ASIO_CORO_REENTER(this) {
       for (;;) {
         BOOST_ASIO_CORO_YIELD c->socket.async_read_some(boost::asio::buffer(c->incoming), *this);
-        if (!c->closing && !server->callsWithCurrentTime(*c).received({c->incoming.data(), bytes})) {
-          server->counters_.add(Counter::badRequests);
-          logLine("closing gRPC client connection: %s", c->calls.closeReason().c_str());
-          c->closing = true;
-        }
-        server->flush(*c);
+        server->onReceived(*c, {c->incoming.data(), bytes});
         if (c->closed) return;
       }
     }
@@ -146,6 +142,19 @@
   if (const auto held = connections_.getShared(h)) Reader(this, held)();
 }
 
+// The bytes may have waited unread in the kernel. If the client has closed the connection meanwhile, the
+// calls in them must not begin: their parts would be sent before the end of the stream is read.
+void GrpcServer::onReceived(Connection& c, std::string_view bytes) {
+  const ReceiveStatus status = receiveStatus(c.socket.native_handle());
+  if (status.peerClosed) return close(c);
+  if (!c.closing && !callsWithCurrentTime(c).received(bytes, loop_.now() - status.sinceLastBytes)) {
+    counters_.add(Counter::badRequests);
+    logLine("closing gRPC client connection: %s", c.calls.closeReason().c_str());
+    c.closing = true;
+  }
+  flush(c);
+}
+
 void GrpcServer::scheduleFlush(Handle h) {
   Connection* c = connections_.get(h);
   if (!c || std::exchange(c->flushScheduled, true)) return;
--- a/src/front/grpc/server.hpp
+++ b/src/front/grpc/server.hpp
@@ -54,6 +54,7 @@
   struct Acceptor;
 
   void addConnection(tcp::socket socket);
+  void onReceived(Connection& c, std::string_view bytes);
   // Writes what the calls have to send.
   void flush(Connection& c);
   void scheduleFlush(Handle h);
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -15,6 +15,7 @@
 #include "config/json.hpp"
 #include "core/listen.hpp"
 #include "core/log.hpp"
+#include "core/receive_status.hpp"
 #include "phases/read_plan.hpp"
 
 namespace cometdeal::net {
@@ -46,6 +47,8 @@
 constexpr int kIdleConnectionsDivisor = 4;
 constexpr Micros kHandOverIdleTime = 300'000;  // idle time after which handOver() closes a connection
 constexpr Micros kAcceptRetryDelay = 20'000;
+// A request that has waited unread for this long is counted and logged.
+constexpr Micros kLongUnreadTime = 100'000;
 constexpr int kQueriedRank = 3;                       // in shedConnection(): the rank that is shed last
 constexpr std::size_t kMaxInputBytes = 128UL * 1024;  // with more unprocessed input, reading pauses
 constexpr std::size_t kMaxOutputBytes = 64UL * 1024;  // with more unsent output, the next request waits
@@ -472,12 +475,25 @@
   if (c.closing) return;
   const bool first = !c.parser.begun() && c.input.empty();
   if (first) c.requestStartedAt = loop_.now();
+  noteArrival(c, first);
   if (first && c.hasRequested) c.requestDueAt = loop_.now() + kRequestTimeout;
   c.input.append(c.readBuffer.data(), bytes);
   processInput(c);
   if (!c.closed && !c.awaitingAnswer && first) armTimeout(c);
 }
 
+// A request's time runs from its arrival on this machine. It may be read much later: at the connection limit
+// a client waits in the backlog, and its deadline must not be extended by that wait.
+void HttpServer::noteArrival(Connection& c, bool startsRequest) {
+  const Micros waited = receiveStatus(c.socket.native_handle()).sinceLastBytes;
+  c.inputArrivedAt = loop_.now() - waited;
+  if (!startsRequest) return;
+  c.requestArrivedAt = c.inputArrivedAt;
+  if (waited < kLongUnreadTime) return;
+  counters_.add(Counter::requestsDelayed);
+  logLine("a request waited unread for %d ms", int(waited / 1000));
+}
+
 void HttpServer::processInput(Connection& c) {
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
   while (!c.closed && !c.awaitingAnswer && !c.closing && !c.input.empty()) {
@@ -508,7 +524,8 @@
     if (keepAliveStopped_ || (!c.hasQueried && aboveHalfCapacity())) c.keepAlive = false;
     return respond(c, writeResponse(up ? 200 : 503, "", "", !c.keepAlive));
   }
-  ParsedQuery parsed = parseQuery(request, mixer_.host(), c.requestStartedAt);
+  ParsedQuery parsed = parseQuery(request, mixer_.host(), c.requestArrivedAt);
+  if (parsed.status == 0 && closeIfClientGone(c, parsed.query.cls)) return;
   parsed.query.deadline = std::min(parsed.query.deadline, answerBy_);
   c.hasQueried = c.hasQueried || parsed.status == 0;
   c.awaitingAnswer = true;
@@ -535,6 +552,18 @@
   respond(c, writeResponse(parsed.status, "", body.dump(), true));
 }
 
+// The end of the stream is read only after all bytes before it, and by then the parts of the query would have
+// been sent. So the kernel is asked before the query is submitted. Returns true if the client has closed the
+// connection; then it is closed here too, and the query of class `cls` counts as aborted.
+bool HttpServer::closeIfClientGone(Connection& c, int cls) {
+  if (!receiveStatus(c.socket.native_handle()).peerClosed) return false;
+  counters_.add(Counter::clientsGone);
+  counters_.add(Counter::clientsGoneUnread);
+  ++counters_.forClass(mixer_.host().classNames[std::size_t(cls)]).aborted;
+  close(c);
+  return true;
+}
+
 // Writes the response to the current request, then goes on with the next request or ends the connection.
 void HttpServer::respond(Connection& c, const std::string& response) {
   // A failed write ends the connection.
@@ -543,6 +572,7 @@
   c.query = {};
   c.closing = !c.keepAlive;
   c.lastUsedAt = c.requestStartedAt = loop_.now();
+  c.requestArrivedAt = c.inputArrivedAt;           // of a pipelined request: no later than the latest bytes
   c.requestDueAt = loop_.now() + kRequestTimeout;  // applies if part of a pipelined request has arrived
   c.output += response;
   armTimeout(c);
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -23,7 +23,8 @@
   std::string error;
   NewQuery query;
 };
-// Validates a request to /api or /api/KEY. `receivedAt`: when its first byte arrived, on the loop's clock.
+// Validates a request to /api or /api/KEY. `receivedAt`: when its first bytes reached this machine, on the
+// loop's clock.
 ParsedQuery parseQuery(const HttpMessage& request, const HostSettings& host, Micros receivedAt);
 // The HTTP response for a final answer. `close`: the connection ends after it.
 std::string writeAnswer(const FinalAnswer& answer, bool close);
@@ -66,6 +67,9 @@
     bool hasRequested = false;  // has sent a complete request
     bool hasQueried = false;    // has sent a valid query
     Micros requestStartedAt = 0, lastUsedAt = 0;
+    // When the first bytes of the current request, and the latest bytes of all, reached this machine. They
+    // may have been read later.
+    Micros requestArrivedAt = 0, inputArrivedAt = 0;
     Micros requestDueAt = 0;  // by when a request that has begun, or the first one, must be complete
     std::string input, output;
     std::array<char, 8192> readBuffer;
@@ -76,8 +80,10 @@
 
   void onAccepted(tcp::socket socket);
   void onReceived(Connection& c, std::size_t bytes);
+  void noteArrival(Connection& c, bool startsRequest);
   void processInput(Connection& c);
   void handleRequest(Connection& c, const HttpMessage& request);
+  bool closeIfClientGone(Connection& c, int cls);
   void respond(Connection& c, const std::string& response);
   void flush(Connection& c);
   void resumeInput(Connection& c);
--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "config/yaml.hpp"
@@ -298,6 +299,29 @@
   rig.checkNothingLeft();
 }
 
+// Guards against calls that were forwarded although they had waited unread in the kernel until their client
+// had gone or their time was over.
+void testUnread() {
+  MixerRig rig(1);
+  GrpcClient other(rig.loop, rig.server->port());
+  // Opens the connection to the leaf server, so that further calls are forwarded at once.
+  ResultPtr r = other.call("/t.S/Unary", scriptMetadata("before", "read status=0"), frameMessage("x"));
+  assert(rig.waitForEnd(r));
+  // The loop does not run while this client connects, sends its call and closes the connection.
+  {
+    GrpcClient gone(rig.loop, rig.server->port());
+    gone.call("/t.S/Unary", scriptMetadata("gone", "read status=0"), frameMessage("x"));
+  }
+  GrpcClient late(rig.loop, rig.server->port());
+  r = late.call("/t.S/Unary", scriptMetadata("late", "read status=0", "300m"), frameMessage("x"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  assert(rig.waitForEnd(r));
+  CHECK_CALL(r->status == int(grpc::Status::deadlineExceeded), r);
+  rig.runFor(200 * ms);
+  assert(rig.timesRun("gone") == 0 && rig.timesRun("late") == 0);
+  rig.checkNothingLeft();
+}
+
 // Each status of a leaf server gives the client exactly that status, once. A status caused by the server is
 // retried on another server where the class allows it; a status caused by the caller is passed on at once.
 void testStatuses() {
@@ -846,6 +870,7 @@
   const std::vector<std::pair<const char*, void (*)()>> tests{{"words", testProtocol},
                                                               {"routes", testRoutes},
                                                               {"unary", testUnary},
+                                                              {"unread", testUnread},
                                                               {"statuses", testStatuses},
                                                               {"before", testFailuresBeforeTheAnswer},
                                                               {"keyed", testKeyed},
