Serve an answer only if the bytes behind it allow that its length is right

Cause: FrameConnections::received handed a frame on before it looked at the bytes behind it. With a wrong length these are no start of a frame, and the connection was closed for that, after the attempt had ended as served. The check on zero bytes in a value catches only some of the lengths that are too large.

Change: while another answer is outstanding on the connection, or one whose cancel may have crossed it, the bytes behind an answer must be the start of a frame; otherwise the attempt ends as reset, which may have run, and the connection is closed. Up to four bytes cannot tell: the answer waits for more, within the time-out of a frame. Where reads end within frames, an answer that ends with a read waits up to 10 ms. Why it works: a true length puts a valid header there; a wrong one shifts it, and a shifted header has a length over the limit or an unknown letter.

--- a/src/check/model.cpp
+++ b/src/check/model.cpp
@@ -42,6 +42,8 @@
   out.partsPerConnection = scope.parts * scope.queries;
   out.maxConnections = scope.servers * scope.connectionsPerServer;
   out.maxPastIds = 4;
+  out.cancelDelivery =
+      scope.ticks * kTick;  // the model's leaf servers may answer cancelled parts at any time
   return out;
 }
 
@@ -225,6 +227,7 @@
         add(StepKind::answerError, k, r);
         add(StepKind::answerBusy, k, r);
         add(StepKind::answerHalf, k, r);
+        if (s.unanswered.size() > 1) add(StepKind::answerTooLong, k, r);
       }
       if (fault && !s.unanswered.empty()) add(StepKind::answerUnknownId, k);
       if (fault && !s.lastAnswer.empty()) add(StepKind::answerRepeated, k);
@@ -341,6 +344,17 @@
       fault();
       connections_.received(socket().connection, socket().lastAnswer);
       break;
+    case StepKind::answerTooLong: {
+      fault();
+      Socket& s = socket();
+      std::string first = answerFrame(s.unanswered[step.b], "200");
+      ++first[0];  // the least significant byte of the length
+      s.unanswered.erase(s.unanswered.begin() + step.b);
+      s.lastAnswer = answerFrame(s.unanswered.front(), "200");
+      s.unanswered.erase(s.unanswered.begin());
+      connections_.received(s.connection, first + std::string(s.lastAnswer));
+      break;
+    }
     case StepKind::answerHalf: {
       fault();
       Socket& s = socket();
@@ -693,6 +707,9 @@
       return socket() + " delivers an answer with an unknown id";
     case StepKind::answerRepeated:
       return socket() + " delivers its last answer again";
+    case StepKind::answerTooLong:
+      return socket() + " delivers an answer for " + unanswered() +
+             " whose length is one too large, and another answer";
     case StepKind::answerHalf:
       return socket() + " delivers half an answer for " + unanswered();
     case StepKind::answerRest:
--- a/src/check/model.hpp
+++ b/src/check/model.hpp
@@ -47,18 +47,20 @@
   answerBusy,         // as answerOk, but 503
   answerUnknownId,    // a: socket; an answer with an id that was never sent
   answerRepeated,     // a: socket; its last answer once more
-  answerHalf,         // a: socket, b: index in its unanswered parts; the first half of an answer
-  answerRest,         // a: socket; the second half of that answer
-  connectionClosed,   // a: socket; closed or reset by the leaf server
-  writeBlocks,        // a: socket; accepts no bytes from now on
-  writeHalf,          // a: socket; accepts half a frame, then no more
-  writeUnblocks,      // a: socket; accepts all bytes again
-  lateCallback,       // a: socket; a callback for a socket that the mixer has closed
-  serverDrains,       // a: server
-  serverRemoved,      // a: server
-  serverRestarts,     // a: server
-  tick,               // time passes
-  runDueTimers,       // a: 0 those of the query tracker, 1 those of the leaf connections
+  answerTooLong,     // a: socket, b: index in its unanswered parts; the length of an answer is one too large,
+                     // and the answer to another part is right behind it
+  answerHalf,        // a: socket, b: index in its unanswered parts; the first half of an answer
+  answerRest,        // a: socket; the second half of that answer
+  connectionClosed,  // a: socket; closed or reset by the leaf server
+  writeBlocks,       // a: socket; accepts no bytes from now on
+  writeHalf,         // a: socket; accepts half a frame, then no more
+  writeUnblocks,     // a: socket; accepts all bytes again
+  lateCallback,      // a: socket; a callback for a socket that the mixer has closed
+  serverDrains,      // a: server
+  serverRemoved,     // a: server
+  serverRestarts,    // a: server
+  tick,              // time passes
+  runDueTimers,      // a: 0 those of the query tracker, 1 those of the leaf connections
 };
 // One step of the environment; what a, b and c refer to depends on the kind.
 struct Step {
--- a/src/core/fault_injection.hpp
+++ b/src/core/fault_injection.hpp
@@ -27,6 +27,8 @@
   keyedAgain,
   // An answer is accepted for the first part on its connection, whatever its id.
   foreignValue,
+  // An answer is accepted although the bytes behind it show that the length of its frame is wrong.
+  lengthTrusted,
   // An attempt that is withdrawn in the turn that created it still counts as outstanding.
   leakOnWithdraw,
   // There is no backstop, so a query that the decision module leaves open never ends.
--- a/src/leaf/frame/connections.cpp
+++ b/src/leaf/frame/connections.cpp
@@ -16,6 +16,10 @@
 constexpr int kAnswersToCloseOlder = 2;
 constexpr double kBreakDecayUs = 2e6;  // time constant with which the count of broken connections decays
 constexpr std::size_t kPartHeaderBytes = 96;  // of the line before a part's text, approximate
+// The smallest segment size of TCP over IPv4. A shorter read that ends within a frame shows that the sender,
+// or something on the path, cuts the stream at arbitrary bytes.
+constexpr std::size_t kMinSegmentBytes = 536;
+constexpr std::size_t kMaxLoggedFrameBytes = 60;
 
 }  // namespace
 
@@ -209,6 +213,7 @@
   const auto part = c->parts.find(location.id);
   if (part == c->parts.end() || part->second.attempt != attempt || removeWaiting(*c, location.id)) return;
   if (!FAULT_INJECTED(stallMeetsTimeout)) part->second.abandoned = true;
+  c->lastCancelAt = now_;
   --c->liveParts;
   QueuedFrame frame;
   frame.bytes = writeFrame('K', location.id);
@@ -358,6 +363,11 @@
   while (const std::optional<Timer> timer = timers_.popDue(now_, mark)) {
     Connection* c = connections_.get(timer->connection);
     if (!c) continue;
+    if (timer->kind == Timer::Kind::answerHold) {
+      c->answerHold.reset();
+      releaseHeldAnswer(*c);
+      continue;
+    }
     if (timer->kind == Timer::Kind::frameTimeout) {
       c->frameTimeout.reset();
       count(Counter::badFrames);
@@ -379,21 +389,87 @@
   c->sendsSinceReceived = 0;
   c->outstandingSince = c->liveParts > 0 ? now_ : 0;
   c->reader.append(bytes);
-  Frame frame;
-  while ((c = connections_.get(connection))) {
-    const FrameReader::State state = c->reader.next(frame);
-    if (state == FrameReader::State::needMore) return updateFrameTimeout(*c);
-    std::optional<LeafAnswer> answer;
-    if (state == FrameReader::State::frame) answer = readAnswer(frame);
-    if (answer && handleAnswer(*c, *answer)) continue;
-    if (state == FrameReader::State::frame && (frame.letter == 'I' || frame.letter == 'U')) continue;
-    count(Counter::badFrames);
-    log("malformed or unexpected frame from " + c->server +
-        "; last complete frame: " + (frame.letter ? frame.letter : '?') + " " + frame.content.substr(0, 60));
-    return closeConnection(*c, "bad frame", false);
+  processFrames(connection);
+  c = connections_.get(connection);
+  if (c && c->reader.partial() && bytes.size() < kMinSegmentBytes) c->lastSmallPieceAt = now_;
+}
+
+// Reads the frames that have arrived and handles each answer once its length has been judged.
+void FrameConnections::processFrames(Handle connection) {
+  while (Connection* c = connections_.get(connection)) {
+    if (!c->heldAnswer) {
+      Frame frame;
+      const FrameReader::State state = c->reader.next(frame);
+      if (state == FrameReader::State::needMore) return updateFrameTimeout(*c);
+      if (state == FrameReader::State::frame && (frame.letter == 'I' || frame.letter == 'U')) continue;
+      if (state == FrameReader::State::frame) c->heldAnswer = readAnswer(frame);
+      if (!c->heldAnswer)
+        return closeForBadFrame(*c, frame.letter ? frame.letter + (" " + frame.content) : "unreadable");
+    }
+    switch (judgeLength(*c)) {
+      case LengthVerdict::right:
+        releaseHeldAnswer(*c);
+        break;
+      case LengthVerdict::wrong:
+        return closeForBadFrame(*c, "the length of the answer to " + c->heldAnswer->id + " is wrong");
+      case LengthVerdict::undecided:
+        return holdAnswer(*c);
+    }
   }
 }
 
+// With a wrong length, the value of an answer lacks its last bytes or includes bytes of the next frame. What
+// follows then is no start of a frame. Behind a correct answer leaf servers may send bytes that belong to no
+// frame, but not while the mixer waits for another answer on the connection.
+FrameConnections::LengthVerdict FrameConnections::judgeLength(const Connection& c) const {
+  const auto part = c.parts.find(c.heldAnswer->id);
+  if (part == c.parts.end() || part->second.abandoned || part->second.state != SendState::written)
+    return LengthVerdict::right;  // the value is not used
+  const FrameReader::Following following = c.reader.following();
+  if (FAULT_INJECTED(lengthTrusted) || following == FrameReader::Following::valid ||
+      !otherMayAnswer(c, part->second))
+    return LengthVerdict::right;
+  if (following == FrameReader::Following::invalid) return LengthVerdict::wrong;
+  if (following == FrameReader::Following::incomplete) return LengthVerdict::undecided;
+  const bool cutAnywhere = c.lastSmallPieceAt && now_ - *c.lastSmallPieceAt < limits_.smallPieceMemory;
+  return cutAnywhere ? LengthVerdict::undecided : LengthVerdict::right;
+}
+
+// Whether the leaf server may have had another part to answer on this connection when it sent the answer to
+// `answered`: one that is outstanding, or one whose cancel may have crossed its answer.
+bool FrameConnections::otherMayAnswer(const Connection& c, const PartOnConnection& answered) const {
+  if (c.lastCancelAt && *c.lastCancelAt >= answered.sentAt && now_ - *c.lastCancelAt < limits_.cancelDelivery)
+    return true;
+  return std::ranges::any_of(c.parts, [&](const auto& entry) {
+    const PartOnConnection& other = entry.second;
+    return other.attempt != answered.attempt && !other.abandoned && other.state == SendState::written;
+  });
+}
+
+// Waits for the bytes behind an answer: for those of a header that has begun within the time-out of a frame,
+// otherwise only briefly.
+void FrameConnections::holdAnswer(Connection& c) {
+  updateFrameTimeout(c);
+  if (c.reader.partial())
+    timers_.cancel(c.answerHold);
+  else if (!c.answerHold)
+    c.answerHold = timers_.add(now_ + limits_.answerHold, {Timer::Kind::answerHold, c.self});
+}
+
+void FrameConnections::releaseHeldAnswer(Connection& c) {
+  timers_.cancel(c.answerHold);
+  LeafAnswer answer = std::move(*c.heldAnswer);
+  c.heldAnswer.reset();
+  const std::string id = answer.id;
+  if (!handleAnswer(c, answer)) closeForBadFrame(c, "unexpected answer to " + id);
+}
+
+void FrameConnections::closeForBadFrame(Connection& c, const std::string& frame) {
+  count(Counter::badFrames);
+  log("malformed or unexpected frame from " + c.server + ": " + frame.substr(0, kMaxLoggedFrameBytes));
+  closeConnection(c, "bad frame", false);
+}
+
 // An answer with an id that was never sent on this connection has a corrupted id: the attempt that it belongs
 // to cannot be determined and would wait for its time-out, so the caller closes the connection. The answer of
 // an abandoned attempt and a duplicate answer are not faults. An answer to a part that is not completely
@@ -423,11 +499,10 @@
     c.outstandingSince = 0;
     restartIdleTimeout(c);
   }
-  const Handle self = c.self;
   recordAnswerTime(c, sentAt);
   const Outcome outcome = answer.outcome;
   endAttempt(attempt, outcome, std::move(answer));
-  return connections_.get(self) != nullptr;
+  return true;
 }
 
 bool FrameConnections::isPastId(const Connection& c, const std::string& id) {
@@ -480,8 +555,10 @@
 }
 
 void FrameConnections::failed(Handle connection, const char* reason) {
+  Connection* c = connections_.get(connection);
+  if (c && c->heldAnswer && !c->reader.partial()) releaseHeldAnswer(*c);  // nothing more will follow it
   // A leaf server may close a connection that is idle.
-  if (Connection* c = connections_.get(connection))
+  if ((c = connections_.get(connection)))
     closeConnection(*c, reason, c->state == ConnectionState::established && c->liveParts == 0);
 }
 
@@ -491,6 +568,7 @@
                                        Outcome writtenOutcome) {
   timers_.cancel(c.timeout);
   timers_.cancel(c.frameTimeout);
+  timers_.cancel(c.answerHold);
   const bool established = c.state == ConnectionState::established;
   // With a reset after a fault, and if answers are outstanding, so that the leaf server discards what it has
   // not read.
@@ -573,6 +651,10 @@
           if (call.startBy != INT64_MAX) to.time(std::max(call.startBy, now_));
         }
       }
+      const bool cancelled = c->lastCancelAt && now_ - *c->lastCancelAt < limits_.cancelDelivery;
+      to << cancelled;
+      if (cancelled) to.time(*c->lastCancelAt);
+      to << (c->heldAnswer ? std::string_view(c->heldAnswer->id) : std::string_view());
       to << c->reader.unread() << std::uint32_t(c->pastIds.size());
       for (const std::size_t hash : c->pastIds) to << hash;
     }
--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -60,6 +60,13 @@
   int maxSpreadConnections = 6;  // connections to a server while parts are spread
   // Ids of ended parts that a connection remembers: an answer to one of them is late or a duplicate.
   std::size_t maxPastIds = 512;
+  // For this long after a part was cancelled its answer may still arrive: it may cross the cancel.
+  Micros cancelDelivery = 50'000;
+  // Where frames arrive in small pieces, an answer that ends with a piece is held for this long if the next
+  // answer may follow it, see judgeLength().
+  Micros answerHold = 10'000;
+  // For how long a connection counts as one on which frames arrive in small pieces.
+  Micros smallPieceMemory = 1'000'000;
 };
 
 // The limits that follow from the settings; `maxConnections`: to all servers together.
@@ -114,7 +121,8 @@
 
  private:
   struct Timer {
-    enum class Kind : std::uint8_t { connectTimeout, idleTimeout, frameTimeout } kind = Kind::connectTimeout;
+    enum class Kind : std::uint8_t { connectTimeout, idleTimeout, frameTimeout, answerHold };
+    Kind kind = Kind::connectTimeout;
     Handle connection;
   };
   struct PartOnConnection {  // the latest attempt of one part on a connection
@@ -147,6 +155,10 @@
     std::list<QueuedFrame> queue;
     std::size_t queuedBytes = 0;  // approximate
     FrameReader reader;
+    std::optional<LeafAnswer> heldAnswer;  // complete, but its length has not been judged yet
+    std::optional<TimerQueue<Timer>::Key> answerHold;
+    std::optional<Micros> lastCancelAt;      // when a part that was begun or written was last abandoned
+    std::optional<Micros> lastSmallPieceAt;  // when a small read last ended within a frame
     std::optional<TimerQueue<Timer>::Key> timeout;       // of connecting, later of being idle
     std::optional<TimerQueue<Timer>::Key> frameTimeout;  // of a frame received in part
     std::vector<std::size_t> pastIds;                    // hashes of ids whose answers may come late or twice
@@ -166,6 +178,14 @@
   bool isSilent(const Connection& c) const;
   bool shouldSpread() const;
   void restartIdleTimeout(Connection& c);
+  // Whether the length of an answer's frame is right, as the bytes behind it tell.
+  enum class LengthVerdict : std::uint8_t { right, wrong, undecided };
+  LengthVerdict judgeLength(const Connection& c) const;
+  bool otherMayAnswer(const Connection& c, const PartOnConnection& answered) const;
+  void processFrames(Handle connection);
+  void holdAnswer(Connection& c);
+  void releaseHeldAnswer(Connection& c);
+  void closeForBadFrame(Connection& c, const std::string& frame);
   // Returns false if the answer is a fault; the caller then closes the connection.
   bool handleAnswer(Connection& c, LeafAnswer& answer);
   static bool isPastId(const Connection& c, const std::string& id);
--- a/src/leaf/frame/frame.cpp
+++ b/src/leaf/frame/frame.cpp
@@ -11,6 +11,8 @@
 // Messages to clients hold at most 64 KiB, so no value is longer; 1 KiB more for an answer's first line. A
 // frame with a greater length is malformed.
 constexpr std::uint32_t kMaxFrameBytes = 65 * 1024;
+constexpr std::size_t kLengthBytes = 4;
+static_assert(kMaxFrameBytes < 1U << 24, "the last byte of a length is 0, see FrameReader::following()");
 // Limit of an answer's first line; without it the reader would wait for a line end that never comes.
 constexpr std::size_t kMaxLineBytes = 1024;
 
@@ -114,31 +116,48 @@
   return out;
 }
 
+std::uint32_t FrameReader::length() const {
+  std::uint32_t out = 0;
+  const std::string_view bytes = unread().substr(0, kLengthBytes);
+  for (std::size_t k = 0; k < bytes.size(); ++k)
+    out |= std::uint32_t(static_cast<unsigned char>(bytes[k])) << (8 * k);
+  return out;
+}
+
+FrameReader::Following FrameReader::following() const {
+  const std::string_view bytes = unread();
+  if (bytes.empty()) return Following::none;
+  const std::uint32_t known = length();
+  if (known > kMaxFrameBytes) return Following::invalid;
+  // The byte that is still missing is 0, so these three must not all be 0.
+  if (bytes.size() >= kLengthBytes - 1 && known == 0) return Following::invalid;
+  if (bytes.size() <= kLengthBytes) return Following::incomplete;
+  return letters_.find(bytes[kLengthBytes]) == std::string_view::npos ? Following::invalid : Following::valid;
+}
+
 FrameReader::State FrameReader::next(Frame& out) {
-  if (buffer_.size() - from_ < 4) {
+  // A malformed frame is rejected as early as possible, before it is complete: with a wrong length, the
+  // following answers would be read as part of its content.
+  const Following start = following();
+  if (start == Following::invalid) return State::malformed;
+  if (start != Following::valid) {
     buffer_.erase(0, from_);
     from_ = 0;
     return State::needMore;
   }
-  std::uint32_t length = 0;
-  for (int k = 0; k < 4; ++k)
-    length |= std::uint32_t(static_cast<unsigned char>(buffer_[from_ + std::size_t(k)])) << (8 * k);
-  if (length == 0 || length > kMaxFrameBytes) return State::malformed;
-  // A malformed frame is rejected as early as possible, before it is complete: with a wrong length, the
-  // following answers would be read as part of its content.
-  const std::string_view received = std::string_view(buffer_).substr(from_ + 4, std::size_t(length));
-  if (!received.empty() && letters_.find(received[0]) == std::string_view::npos) return State::malformed;
+  const std::uint32_t length = this->length();
+  const std::string_view received = unread().substr(kLengthBytes, std::size_t(length));
   if (received.size() > kMaxLineBytes && received[0] == 'O' &&
       received.substr(0, kMaxLineBytes).find('\n') == std::string_view::npos)
     return State::malformed;
-  if (buffer_.size() - from_ < 4 + std::size_t(length)) {
+  if (buffer_.size() - from_ < kLengthBytes + std::size_t(length)) {
     buffer_.erase(0, from_);
     from_ = 0;
     return State::needMore;
   }
-  out.letter = buffer_[from_ + 4];
-  out.content.assign(buffer_, from_ + 5, length - 1);
-  from_ += 4 + std::size_t(length);
+  out.letter = buffer_[from_ + kLengthBytes];
+  out.content.assign(buffer_, from_ + kLengthBytes + 1, length - 1);
+  from_ += kLengthBytes + std::size_t(length);
   return State::frame;
 }
 
--- a/src/leaf/frame/frame.hpp
+++ b/src/leaf/frame/frame.hpp
@@ -44,10 +44,17 @@
   // Reads the next frame into `out` if it is complete. After `malformed` the connection must be closed.
   State next(Frame& out);
   bool partial() const { return buffer_.size() > from_; }  // after `needMore`: a frame is received in part
+  // What the bytes behind the frames read so far are: none, too few to tell, the start of a frame, or bytes
+  // that no frame starts with. `invalid` means that the length of the frame before them is wrong, or that
+  // the peer has sent bytes that belong to no frame.
+  enum class Following { none, incomplete, valid, invalid };
+  Following following() const;
   // The bytes that are not read as frames yet; for the checker.
   std::string_view unread() const { return std::string_view(buffer_).substr(from_); }
 
  private:
+  std::uint32_t length() const;  // of the next frame, as far as its bytes have arrived
+
   std::string_view letters_;
   std::string buffer_;
   std::size_t from_ = 0;  // where the next frame begins in the buffer
--- a/src/tool/check.cpp
+++ b/src/tool/check.cpp
@@ -45,6 +45,8 @@
      "window"},
     {"foreign-value", InjectedFault::foreignValue, "an answer counts for another part on its connection",
      "own-value"},
+    {"length-trusted", InjectedFault::lengthTrusted,
+     "an answer counts although the bytes behind it show that its length is wrong", "own-value"},
     {"leak-on-withdraw", InjectedFault::leakOnWithdraw,
      "an attempt withdrawn in the turn that created it still counts as outstanding", "no-leak"},
     {"short-answer", InjectedFault::shortAnswer,
