gRPC: take a unary reply that ends within a message for a failed attempt

What callers saw: status OK without a message, after a leaf server's message prefix was one byte too large or too small; seen in a test only, no caller has reported it.

Cause: Channels::onTrailers ended the attempt by the status alone, though the parser of prefixes knew that the reply stopped within a message.

Change: such a reply, if not streamed, ends the attempt as an error that may have run. Why it works: HTTP/2 ends the reply exactly, so a wrong length of its only message always leaves the parser within a message. Nothing is held longer: replies that are not streamed are passed on only when they have ended.

Test, seen to fail before: grpc.lengths (status 0, no message).

--- a/src/leaf/grpc/channels.cpp
+++ b/src/leaf/grpc/channels.cpp
@@ -400,6 +400,9 @@
   const std::string* digits = http2::find(trailers, kStatusField);
   const auto status = digits ? grpc::parseStatus(*digits) : std::nullopt;
   if (!status) return onStreamClosed(c, id, {Outcome::error, Status::unknown});
+  // The reply ends within a message: the length of that message is wrong, or its rest is lost.
+  if (*status == Status::ok && !s.exchange->streamed && !s.messages->atMessageBoundary())
+    return onStreamClosed(c, id, {Outcome::error, Status::internal});
   s.reply->onSpace = s.reply->onCancelled = nullptr;
   s.reply->end(std::move(trailers));
   endAttempt(s, grpc::resultOfStatus(*status).outcome);
--- a/src/standin/grpc_leaf.cpp
+++ b/src/standin/grpc_leaf.cpp
@@ -203,6 +203,9 @@
     } else if (verb == "flag") {
       sendHeaders(*c, id, call);
       session.write(id, std::string("\7\0\0\0\1x", 6));
+    } else if (verb == "toolong" || verb == "tooshort") {
+      sendHeaders(*c, id, call);
+      session.write(id, std::string("\0\0\0\0", 4) + (verb == "toolong" ? "\4xyz" : "\2xyz"));
     } else if (verb == "huge") {
       sendHeaders(*c, id, call);
       session.write(id, std::string("\0\x40\0\0\0x", 6));
--- a/src/standin/grpc_leaf.hpp
+++ b/src/standin/grpc_leaf.hpp
@@ -15,6 +15,8 @@
 //   goaway           sends GOAWAY with a last stream below this call; calls before it may finish
 //   cut              closes the connection; `cut-reset`: with a TCP reset
 //   flag             sends a message whose first byte is 7
+//   toolong          sends a message whose prefix has a length that is one byte too large
+//   tooshort         sends a message whose prefix has a length that is one byte too small
 //   huge             sends a message prefix with a length of 1 GiB
 //   nostatus         ends the call with trailers that contain no status
 //   deaf             stops reopening the request's flow-control window, so that the client must stop sending
--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -382,6 +382,26 @@
   rig.checkNothingLeft();
 }
 
+// Guards against a reply that is passed on as complete although its message has a wrong length: the attempt
+// has failed and may have run.
+void testReplyLengths() {
+  MixerRig rig(3);
+  GrpcClient client(rig.loop, rig.server->port());
+  for (const char* script : {"read toolong status=0", "read tooshort status=0"})
+    for (const char* path : {"/t.S/Unary", "/t.S/Unsafe"}) {
+      const std::string id = std::string(script) + path;
+      ResultPtr r = client.call(
+          path,
+          {{"call", id}, {"script-0", script}, {"script", "read message=1 status=0"}, {"grpc-timeout", "4S"}},
+          frameMessage("x"));
+      assert(rig.waitForEnd(r));
+      const bool mayRepeat = std::string_view(path) == "/t.S/Unary";
+      CHECK_CALL(mayRepeat ? r->status == 0 && r->messages.size() == 1 : r->status > 0, r);
+      CHECK_CALL(rig.timesRun(id) == (mayRepeat ? 2 : 1) && r->outcomes == 1, r);
+    }
+  rig.checkNothingLeft();
+}
+
 void testKeyed() {
   MixerRig rig(3);
   GrpcClient client(rig.loop, rig.server->port());
@@ -867,21 +887,13 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const std::vector<std::pair<const char*, void (*)()>> tests{{"words", testProtocol},
-                                                              {"routes", testRoutes},
-                                                              {"unary", testUnary},
-                                                              {"unread", testUnread},
-                                                              {"statuses", testStatuses},
-                                                              {"before", testFailuresBeforeTheAnswer},
-                                                              {"keyed", testKeyed},
-                                                              {"deadlines", testDeadlines},
-                                                              {"streams", testStreams},
-                                                              {"cancel", testCancel},
-                                                              {"backpressure", testBackpressure},
-                                                              {"drains", testDrains},
-                                                              {"stop", testStop},
-                                                              {"bad", testBadInput},
-                                                              {"leaves", testLeafConnections}};
+  const std::vector<std::pair<const char*, void (*)()>> tests{
+      {"words", testProtocol},        {"routes", testRoutes},     {"unary", testUnary},
+      {"unread", testUnread},         {"statuses", testStatuses}, {"before", testFailuresBeforeTheAnswer},
+      {"lengths", testReplyLengths},  {"keyed", testKeyed},       {"deadlines", testDeadlines},
+      {"streams", testStreams},       {"cancel", testCancel},     {"backpressure", testBackpressure},
+      {"drains", testDrains},         {"stop", testStop},         {"bad", testBadInput},
+      {"leaves", testLeafConnections}};
   if (argc == 4 && std::string(argv[1]) == "soak")
     return testSoak(std::atoi(argv[2]), unsigned(std::atoi(argv[3]))), 0;
   if (argc == 3 && std::string(argv[1]) == "cancel-time") return measureCancel(std::atoi(argv[2])), 0;
