Run the time-out for the rest of a frame anew for each frame

What callers saw: parts ended as reset although each answer arrived within the time-out; seen in a test of answers in pieces, no caller has reported it.

Cause: the time-out was set with the first bytes of a frame and cancelled only by a read that ended exactly between two frames, so a later frame inherited it.

Change: every complete frame cancels it. Why it works: the next frame's first bytes set it anew, and a frame that stops is still closed after 0.2 s (net, incompleteFrames).

Test, seen to fail before: FrameTimeout.RunsAnewForEachFrame (reset after 0.2 s).

--- a/src/leaf/frame/connections.cpp
+++ b/src/leaf/frame/connections.cpp
@@ -401,6 +401,7 @@
       Frame frame;
       const FrameReader::State state = c->reader.next(frame);
       if (state == FrameReader::State::needMore) return updateFrameTimeout(*c);
+      timers_.cancel(c->frameTimeout);  // the next frame has a time-out of its own
       if (state == FrameReader::State::frame && (frame.letter == 'I' || frame.letter == 'U')) continue;
       if (state == FrameReader::State::frame) c->heldAnswer = readAnswer(frame);
       if (!c->heldAnswer)
--- a/tests/frame_connections_test.cpp
+++ b/tests/frame_connections_test.cpp
@@ -56,11 +56,12 @@
     connections.received(sentOn.at(part), bytes);
     settle();
   }
-  // Delivers bytes in pieces, 3 ms apart.
-  void receiveInPieces(const std::string& part, std::string_view bytes, std::size_t pieceBytes) {
+  // Delivers bytes in pieces.
+  void receiveInPieces(const std::string& part, std::string_view bytes, std::size_t pieceBytes,
+                       Micros interval = 3 * kMs) {
     for (; !bytes.empty(); bytes.remove_prefix(std::min(pieceBytes, bytes.size()))) {
       receive(part, bytes.substr(0, pieceBytes));
-      advance(3 * kMs);
+      advance(interval);
     }
   }
   // Advances the time in steps of 1 ms and runs the timers.
@@ -224,5 +225,23 @@
   EXPECT_EQ(rig.ends["q.1"].at(0).outcome, Outcome::reset);
 }
 
+// Guards against a connection that is closed although each frame arrives in time, because its bytes never
+// stop at the end of a frame: the time-out is for each frame, not for the stream.
+TEST(FrameTimeout, RunsAnewForEachFrame) {
+  Rig rig;
+  std::string bytes;
+  for (int k = 0; k < 30; ++k) {
+    const std::string part = "q." + std::to_string(k);
+    rig.send(part);
+    bytes += answer(part);
+  }
+  rig.receiveInPieces("q.0", bytes, 31, 30 * kMs);
+  for (int k = 0; k < 30; ++k) {
+    const auto& ends = rig.ends["q." + std::to_string(k)];
+    ASSERT_EQ(ends.size(), 1U) << k;
+    EXPECT_EQ(ends[0].outcome, Outcome::done) << k;
+  }
+}
+
 }  // namespace
 }  // namespace cometdeal::net
