Send a newer attempt on a connection that has not carried the part before

Cause: all attempts of a part have one id, and an answer is matched by connection and id. pickConnection avoided a connection on which an older attempt was outstanding or abandoned, but not one on which it had been answered: there the second copy ended the newer attempt as rejected, so a third one ran the part again.

Evidence: in each record the second attempt ends 3 ms after its send by a 503, while the leaf server runs it for 170 ms. The unit test fails before for second copies of 200 (late), 500 and 503.

Change: a connection that remembers the id of a part as ended carries no newer attempt of it; another is used, or opened. Why it works: then every id is unambiguous on every connection, whatever arrives late or twice.

scenario.client_gone had a new query with a used id on the same connection, which is this fault. It now expects another connection, and sends the late answer a second time after the new query was sent: stricter.

Tests, seen to fail before: SecondCopy.NeverEndsANewerAttempt, scenario.second_copy, scenario.client_gone.

--- a/src/check/model.hpp
+++ b/src/check/model.hpp
@@ -145,6 +145,7 @@
   // Time has passed, and the timers of the query tracker or of the leaf connections have not been run since.
   bool trackerTimersDue_ = false, connectionTimersDue_ = false;
   bool processingCommands_ = false, processingEffects_ = false;
+  bool answerIsRepeated_ = false;  // the step answerRepeated is being performed
   std::vector<QueryObservation> queries_;
   std::map<std::string, PartObservation> parts_;
   std::map<std::uint64_t, AttemptObservation> attempts_;
--- a/src/check/properties.hpp
+++ b/src/check/properties.hpp
@@ -26,7 +26,8 @@
     "was."};
 inline constexpr Property kOwnValue{"own-value",
                                     "A value that is served was produced for that part by a leaf server "
-                                    "that had received it completely."};
+                                    "that had received it completely, and a second copy of an answer ends "
+                                    "no attempt."};
 inline constexpr Property kOneEnd{
     "one-end", "An attempt that was sent ends exactly once, and the query tracker is notified."};
 inline constexpr Property kNoLeak{"no-leak",
--- a/src/core/fault_injection.hpp
+++ b/src/core/fault_injection.hpp
@@ -21,6 +21,8 @@
   resetTakenForConnect,
   // A newer attempt of a part may use a connection on which the answer to an older one may still arrive.
   sharedId,
+  // A newer attempt of a part may use a connection on which an older one was answered.
+  answeredIdShared,
   // The client's disconnect and the answer both end the query.
   answerTwice,
   // The limit on attempts and the limits on repeats (effect of the class, repeat window) are ignored.
--- a/src/leaf/frame/connections.cpp
+++ b/src/leaf/frame/connections.cpp
@@ -113,8 +113,9 @@
 }
 
 // Returns the first connection with free capacity. While connections break often, returns the one with the
-// fewest parts instead, since a break fails every part on the connection. A connection on which the answer of
-// an earlier attempt of a part may still arrive is not used for a newer attempt: both have the same id.
+// fewest parts instead, since a break fails every part on the connection. A connection that has carried an
+// earlier attempt of a part is not used for a newer one. Both have the same id, so an answer to the earlier
+// one that arrives late, or a second copy of it, would pass for the answer to the newer one.
 FrameConnections::Connection* FrameConnections::pickConnection(Server& server,
                                                                const std::vector<Call>& calls) {
   Connection* firstSilent = nullptr;
@@ -126,9 +127,7 @@
     if (!c || c->address != server.entry.address) continue;
     if (c->liveParts + int(calls.size()) > limits_.partsPerConnection) continue;
     if (c->reader.partial() && c->liveParts == 0) continue;  // received bytes though none were expected
-    if (!FAULT_INJECTED(sharedId) &&
-        std::ranges::any_of(calls, [&](const Call& call) { return c->parts.contains(call.id); }))
-      continue;
+    if (std::ranges::any_of(calls, [&](const Call& call) { return hasCarried(*c, call.id); })) continue;
     if (isSilent(*c)) {
       if (!firstSilent) firstSilent = c;
       ++silentCount;
@@ -506,6 +505,12 @@
   return true;
 }
 
+// Whether an attempt of the part is or was on the connection, as far as the connection remembers.
+bool FrameConnections::hasCarried(const Connection& c, const std::string& id) {
+  return (c.parts.contains(id) && !FAULT_INJECTED(sharedId)) ||
+         (isPastId(c, id) && !FAULT_INJECTED(answeredIdShared));
+}
+
 bool FrameConnections::isPastId(const Connection& c, const std::string& id) {
   return std::ranges::find(c.pastIds, std::hash<std::string>()(id)) != c.pastIds.end();
 }
--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -58,7 +58,8 @@
   // a server are spread over several connections; 0: never.
   double spreadThreshold = 3;
   int maxSpreadConnections = 6;  // connections to a server while parts are spread
-  // Ids of ended parts that a connection remembers: an answer to one of them is late or a duplicate.
+  // Ids of ended parts that a connection remembers: an answer to one of them is late or a duplicate, and no
+  // newer attempt of such a part is sent on the connection.
   std::size_t maxPastIds = 512;
   // For this long after a part was cancelled its answer may still arrive: it may cross the cancel.
   Micros cancelDelivery = 50'000;
@@ -188,6 +189,7 @@
   void closeForBadFrame(Connection& c, const std::string& frame);
   // Returns false if the answer is a fault; the caller then closes the connection.
   bool handleAnswer(Connection& c, LeafAnswer& answer);
+  static bool hasCarried(const Connection& c, const std::string& id);
   static bool isPastId(const Connection& c, const std::string& id);
   void addPastId(Connection& c, const std::string& id) const;
   void updateFrameTimeout(Connection& c);
