--- a/fuzz/targets.cpp
+++ b/fuzz/targets.cpp
@@ -10,7 +10,7 @@
 #include "admin/calls.hpp"
 #include "config/config.hpp"
 #include "core/settings_change.hpp"
-#include "front/http/server.hpp"
+#include "front/http/query.hpp"
 #include "http/http.hpp"
 #include "leaf/frame/frame.hpp"
 
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -1,5 +1,4 @@
-// The HTTP front: accepts client connections, converts requests to queries for the mixer and final answers
-// to responses.
+// The HTTP front: accepts client connections, submits their requests to the mixer and writes its answers.
 #pragma once
 
 #include <array>
@@ -14,21 +13,10 @@
 #include "core/mixer.hpp"
 #include "core/slot_table.hpp"
 #include "http/http.hpp"
+#include "query.hpp"
 
 namespace cometdeal::net {
 
-// The query in a request, or the HTTP status and the error text to reject the request with.
-struct ParsedQuery {
-  int status = 0;  // 0: the request is valid and `query` is set
-  std::string error;
-  NewQuery query;
-};
-// Validates a request to /api or /api/KEY. `receivedAt`: when its first bytes reached this machine, on the
-// loop's clock.
-ParsedQuery parseQuery(const HttpMessage& request, const HostSettings& host, Micros receivedAt);
-// The HTTP response for a final answer. `close`: the connection ends after it.
-std::string writeAnswer(const FinalAnswer& answer, bool close);
-
 // Serves HTTP/1.1 clients on one listener, up to a maximum number of connections.
 class HttpServer {
  public:
