Notice that a client has closed while reading from it is paused

What callers saw: attempts for a client that had sent over 128 KiB behind its query and closed, up to the query's deadline; seen by the review in a search and in a test, no caller has reported it.

Cause: reading pauses at 128 KiB of input, and the end of the stream is behind that.

Change: while reading is paused, the kernel is asked every 50 ms whether the client has closed. Why it works: it knows the close before the bytes ahead of it are read; and 50 ms are within the 0.1 s in which an attempt may still begin. Nothing changes for clients whose input is read.

--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -38,6 +38,7 @@
 constexpr int kIdleConnectionsDivisor = 4;
 constexpr Micros kHandOverIdleTime = 300'000;  // idle time after which handOver() closes a connection
 constexpr Micros kAcceptRetryDelay = 20'000;
+constexpr Micros kCloseCheckInterval = 50'000;  // while reading is paused
 // A request that has waited unread for this long is counted and logged.
 constexpr Micros kLongUnreadTime = 100'000;
 constexpr int kQueriedRank = 3;                       // in shedConnection(): the rank that is shed last
@@ -63,6 +64,7 @@
         if (c->closed) return;
       }
       c->reading = false;  // restarted when the input buffer has free space
+      server->checkForClose(*c);
     }
   }
 };
@@ -404,6 +406,19 @@
   return true;
 }
 
+// While reading is paused the end of the stream is not read. So the kernel is asked for it at intervals: a
+// query must not be worked on for a client that has gone.
+void HttpServer::checkForClose(Connection& c) {
+  if (c.closed || c.reading || c.closeCheck) return;
+  if (receiveStatus(c.socket.native_handle()).peerClosed) return close(c);
+  c.closeCheck = loop_.deadlines.add(loop_.now() + kCloseCheckInterval, [this, h = c.self] {
+    Connection* paused = connections_.get(h);
+    if (!paused) return;
+    paused->closeCheck.reset();
+    checkForClose(*paused);
+  });
+}
+
 // Writes the response to the current request, then goes on with the next request or ends the connection.
 void HttpServer::respond(Connection& c, const std::string& response) {
   // A failed write ends the connection.
@@ -469,6 +484,7 @@
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
   c.closed = true;
   loop_.deadlines.cancel(c.timeout);
+  loop_.deadlines.cancel(c.closeCheck);
   error_code ignored;
   c.socket.close(ignored);
   connections_.remove(c.self);
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -62,6 +62,7 @@
     std::string input, output;
     std::array<char, 8192> readBuffer;
     std::optional<Deadlines::Key> timeout;
+    std::optional<Deadlines::Key> closeCheck;  // while reading is paused, see checkForClose()
   };
   struct Reader;
   struct Acceptor;
@@ -71,6 +72,7 @@
   void noteArrival(Connection& c, bool startsRequest);
   void processInput(Connection& c);
   void handleRequest(Connection& c, const HttpMessage& request);
+  void checkForClose(Connection& c);
   bool closeIfClientGone(Connection& c, int cls);
   void respond(Connection& c, const std::string& response);
   void flush(Connection& c);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -12,7 +12,7 @@
 //   configure [PATH=JSON ...]  changes further settings and writes the configuration file again
 //   connect C                  connects to the mixer as a client
 //   accept C NAME              accepts a connection at the listener
-//   send C raw TEXT | http STATUS BODY | frame LETTER TEXT | query ID CLASS SECONDS SHARDS
+//   send C raw TEXT | fill BYTES | http STATUS BODY | frame LETTER TEXT | query ID CLASS SECONDS SHARDS
 //   expect C status CODE PATTERN    a response; PATTERN matches `NAME: VALUE; ` of each header, then the body
 //   expect C request PATTERN        a request; PATTERN matches `METHOD TARGET`
 //   expect C frame LETTER PATTERN   a frame
@@ -295,10 +295,11 @@
     peers.erase(name);
   } else if (command == "send") {
     words >> what;
-    std::string statusOrLetter;
+    std::string statusOrLetter;  // or the number of bytes
     if (what == "raw") return sendText(peer(name), restOfLine(words));
     if (what == "query") return sendText(peer(name), queryText(words));
     words >> statusOrLetter;
+    if (what == "fill") return sendText(peer(name), std::string(std::stoul(statusOrLetter), 'x'));
     if (what == "frame") return sendText(peer(name), writeFrame(statusOrLetter[0], restOfLine(words)));
     check(what == "http", "unknown command: " + line);
     sendText(peer(name), writeResponse(std::stoi(statusOrLetter), "", restOfLine(words), false));
