--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -7,6 +7,7 @@
 //   blocked       the kernel accepts no more bytes until it reports the socket as writable
 //   silent        has had answers outstanding for longer than an answer takes: gets no new parts
 //   frame begun   an incomplete frame has been received; it has to be completed within a time-out
+//   answer held   an answer is complete, but only the bytes behind it will show whether its length is right
 // An attempt on it:  waiting -> begun -> written -> ended
 //   waiting       in the connection's queue, none of its bytes written: it can be removed as if never queued
 //   begun         some of its bytes are written, so the rest has to follow
