--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -22,8 +22,8 @@
   refused,                // queries refused by the decision module
   failed,                 // queries failed by the decision module or by their plan
   clientsGone,            // queries whose client disconnected
-  clientsGoneUnread,      // of those, the ones whose client had gone before the query was read
-  requestsDelayed,        // requests that waited unread for kLongUnreadTime or longer
+  clientsGoneUnread,      // of those over HTTP, the ones whose client had gone before the query was read
+  requestsDelayed,        // HTTP requests that waited 0.1 s or longer in the kernel before they were read
   backstops,              // queries that the decision module had not ended shortly before their deadline
   defects,                // internal inconsistencies
   sends,                  // attempts started by the decision module, without skipped ones
