Fail an answer whose length may be too small also when it is alone on its connection

Cause: judgeLength took the length for right whenever no other answer was outstanding, because leaf servers may send noise behind a good answer then; it never asked whether the bytes left over could be the rest of the value. With nothing behind the answer yet it did not wait, even where the stream had been cut into pieces. Evidence: the log line "malformed or unexpected frame: unreadable" (the four bytes) after each such answer was served.

Change: the judgement is a module without state, leaf/frame/answer_length. Bytes behind the only answer are accepted if they are a frame, or can neither continue the value (no text) nor complete a header that the value swallowed. What stays in doubt ends as reset. An answer that ends with a read waits 10 to 50 ms only where the stream may have been cut there. New counter answers_of_wrong_length, checker step answerTooShort, injected fault lone-length-trusted.

Tests: FrameLength.WrongLengthOfTheOnlyAnswerIsAFailedAttemptThatMayHaveRun, WrongLengthBeforeALateAnswerIsNoticed, WrongLengthOfTheOnlyAnswerIsNoticedInPieces, WrongLengthOfALongAnswerIsNoticedBetweenSegments: all four failed on the program before. Two older tests changed: GoodAnswersAreServed said that any noise is served at once; its text was cut at a zero byte and was the single byte 0x07, which may be the rest of a value. It now has six kinds of bytes that are served at once and five that are within the hold. RunsAnewForEachFrame waits for the hold of the last answer.

--- a/src/check/model.cpp
+++ b/src/check/model.cpp
@@ -47,6 +47,8 @@
   return out;
 }
 
+constexpr int kMissingBytes = 4;  // by which the length of an answer is too small
+
 std::string answerFrame(const std::string& part, const char* status) {
   return writeFrame('O', part + " " + status + " 7 -\nvalue of " + part);
 }
@@ -230,6 +232,7 @@
         add(StepKind::answerError, k, r);
         add(StepKind::answerBusy, k, r);
         add(StepKind::answerHalf, k, r);
+        add(StepKind::answerTooShort, k, r);
         if (s.unanswered.size() > 1) add(StepKind::answerTooLong, k, r);
       }
       if (fault && !s.unanswered.empty()) add(StepKind::answerUnknownId, k);
@@ -362,6 +365,16 @@
       connections_.received(s.connection, first + std::string(s.lastAnswer));
       break;
     }
+    case StepKind::answerTooShort: {
+      fault();
+      Socket& s = socket();
+      std::string frame = answerFrame(s.unanswered[step.b], "200");
+      frame[0] = char(frame[0] - kMissingBytes);  // the least significant byte of the length
+      s.unanswered.erase(s.unanswered.begin() + step.b);
+      s.lastAnswer = frame;
+      connections_.received(s.connection, frame);
+      break;
+    }
     case StepKind::answerHalf: {
       fault();
       Socket& s = socket();
@@ -721,6 +734,8 @@
     case StepKind::answerTooLong:
       return socket() + " delivers an answer for " + unanswered() +
              " whose length is one too large, and another answer";
+    case StepKind::answerTooShort:
+      return socket() + " delivers an answer for " + unanswered() + " whose length is too small";
     case StepKind::answerHalf:
       return socket() + " delivers half an answer for " + unanswered();
     case StepKind::answerRest:
--- a/src/check/model.hpp
+++ b/src/check/model.hpp
@@ -49,6 +49,7 @@
   answerRepeated,     // a: socket; its last answer once more
   answerTooLong,     // a: socket, b: index in its unanswered parts; the length of an answer is one too large,
                      // and the answer to another part is right behind it
+  answerTooShort,    // a: socket, b: index in its unanswered parts; the length of an answer is too small
   answerHalf,        // a: socket, b: index in its unanswered parts; the first half of an answer
   answerRest,        // a: socket; the second half of that answer
   connectionClosed,  // a: socket; closed or reset by the leaf server
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -28,6 +28,7 @@
       "withdrawn",
       "late_answers",
       "bad_frames",
+      "answers_of_wrong_length",
       "leaf_connections",
       "leaf_connects_failed",
       "leaf_connections_lost",
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -32,6 +32,7 @@
   withdrawn,              // attempts withdrawn before any byte of them was sent
   lateAnswers,            // answers to attempts that had already ended, and repeated answers
   badFrames,              // malformed, incomplete or unexpected frames from leaf servers
+  answersOfWrongLength,   // of those, answers whose value may lack its end or include foreign bytes
   leafConnections,        // connection attempts to leaf servers
   leafConnectsFailed,     // ended before they were established
   leafConnectionsLost,    // ended unexpectedly after they were established
--- a/src/core/fault_injection.hpp
+++ b/src/core/fault_injection.hpp
@@ -31,6 +31,8 @@
   foreignValue,
   // An answer is accepted although the bytes behind it show that the length of its frame is wrong.
   lengthTrusted,
+  // The same, but only while no other answer is outstanding on the connection.
+  loneLengthTrusted,
   // An attempt that is withdrawn in the turn that created it still counts as outstanding.
   leakOnWithdraw,
   // There is no backstop, so a query that the decision module leaves open never ends.
--- a/src/leaf/frame/connections.cpp
+++ b/src/leaf/frame/connections.cpp
@@ -364,7 +364,7 @@
     if (!c) continue;
     if (timer->kind == Timer::Kind::answerHold) {
       c->answerHold.reset();
-      releaseHeldAnswer(*c);
+      onHoldExpired(*c);
       continue;
     }
     if (timer->kind == Timer::Kind::frameTimeout) {
@@ -387,10 +387,33 @@
   restartIdleTimeout(*c);
   c->sendsSinceReceived = 0;
   c->outstandingSince = c->liveParts > 0 ? now_ : 0;
+  noteRead(*c, bytes.size());
   c->reader.append(bytes);
   processFrames(connection);
-  c = connections_.get(connection);
-  if (c && c->reader.partial() && bytes.size() < kMinSegmentBytes) c->lastSmallPieceAt = now_;
+  if ((c = connections_.get(connection))) noteReadEnd(*c);
+}
+
+void FrameConnections::noteRead(Connection& c, std::size_t bytes) {
+  c.frameSpansReads = c.reader.partial();
+  if (!arrivesInSmallPieces(c)) c.longestPieceGap = 0;
+  if (c.frameSpansReads) c.longestPieceGap = std::max(c.longestPieceGap, now_ - c.lastReadAt);
+  c.lastReadAt = now_;
+  c.lastReadBytes = bytes;
+}
+
+void FrameConnections::noteReadEnd(Connection& c) {
+  if (c.reader.partial() && c.lastReadBytes < kMinSegmentBytes) c.lastSmallPieceAt = now_;
+}
+
+bool FrameConnections::arrivesInSmallPieces(const Connection& c) const {
+  return c.lastSmallPieceAt && now_ - *c.lastSmallPieceAt < limits_.smallPieceMemory;
+}
+
+// Whether bytes that were sent together with the frame that was just read may arrive after it. A frame that
+// was received whole in a read that is shorter than a TCP segment was not cut, unless small pieces are usual
+// on the connection.
+bool FrameConnections::mayBeCutBehindFrame(const Connection& c) const {
+  return c.frameSpansReads || c.lastReadBytes >= kMinSegmentBytes || arrivesInSmallPieces(c);
 }
 
 // Reads the frames that have arrived and handles each answer once its length has been judged.
@@ -401,38 +424,37 @@
       const FrameReader::State state = c->reader.next(frame);
       if (state == FrameReader::State::needMore) return updateFrameTimeout(*c);
       timers_.cancel(c->frameTimeout);  // the next frame has a time-out of its own
+      c->heldAnswerMayBeCut = mayBeCutBehindFrame(*c);
+      c->frameSpansReads = false;
       if (state == FrameReader::State::frame && (frame.letter == 'I' || frame.letter == 'U')) continue;
       if (state == FrameReader::State::frame) c->heldAnswer = readAnswer(frame);
       if (!c->heldAnswer)
         return closeForBadFrame(*c, frame.letter ? frame.letter + (" " + frame.content) : "unreadable");
     }
-    switch (judgeLength(*c)) {
+    switch (judgeHeldAnswer(*c, false)) {
       case LengthVerdict::right:
         releaseHeldAnswer(*c);
         break;
       case LengthVerdict::wrong:
-        return closeForBadFrame(*c, "the length of the answer to " + c->heldAnswer->id + " is wrong");
+        return rejectHeldAnswer(*c);
       case LengthVerdict::undecided:
         return holdAnswer(*c);
     }
   }
 }
 
-// With a wrong length, the value of an answer lacks its last bytes or includes bytes of the next frame. What
-// follows then is no start of a frame. Behind a correct answer leaf servers may send bytes that belong to no
-// frame, but not while the mixer waits for another answer on the connection.
-FrameConnections::LengthVerdict FrameConnections::judgeLength(const Connection& c) const {
+LengthVerdict FrameConnections::judgeHeldAnswer(const Connection& c, bool waited) const {
   const auto part = c.parts.find(c.heldAnswer->id);
   if (part == c.parts.end() || part->second.abandoned || part->second.state != SendState::written)
     return LengthVerdict::right;  // the value is not used
-  const FrameReader::Following following = c.reader.following();
-  if (FAULT_INJECTED(lengthTrusted) || following == FrameReader::Following::valid ||
-      !otherMayAnswer(c, part->second))
-    return LengthVerdict::right;
-  if (following == FrameReader::Following::invalid) return LengthVerdict::wrong;
-  if (following == FrameReader::Following::incomplete) return LengthVerdict::undecided;
-  const bool cutAnywhere = c.lastSmallPieceAt && now_ - *c.lastSmallPieceAt < limits_.smallPieceMemory;
-  return cutAnywhere ? LengthVerdict::undecided : LengthVerdict::right;
+  if (FAULT_INJECTED(lengthTrusted)) return LengthVerdict::right;
+  const bool otherOutstanding = otherMayAnswer(c, part->second);
+  if (FAULT_INJECTED(loneLengthTrusted) && !otherOutstanding) return LengthVerdict::right;
+  return judgeLength({.value = c.heldAnswer->value,
+                      .reader = &c.reader,
+                      .otherMayAnswer = otherOutstanding,
+                      .mayBeCut = c.heldAnswerMayBeCut,
+                      .waited = waited});
 }
 
 // Whether the leaf server may have had another part to answer on this connection when it sent the answer to
@@ -446,14 +468,22 @@
   });
 }
 
-// Waits for the bytes behind an answer: for those of a header that has begun within the time-out of a frame,
-// otherwise only briefly.
+// Waits for the bytes behind an answer. While another answer is outstanding, the rest of a header that has
+// begun may take as long as the rest of any frame.
 void FrameConnections::holdAnswer(Connection& c) {
   updateFrameTimeout(c);
-  if (c.reader.partial())
-    timers_.cancel(c.answerHold);
-  else if (!c.answerHold)
-    c.answerHold = timers_.add(now_ + limits_.answerHold, {Timer::Kind::answerHold, c.self});
+  const auto part = c.parts.find(c.heldAnswer->id);
+  if (c.reader.partial() && otherMayAnswer(c, part->second)) return timers_.cancel(c.answerHold);
+  if (c.answerHold) return;
+  const Micros hold = std::clamp(2 * c.longestPieceGap, limits_.minAnswerHold, limits_.maxAnswerHold);
+  c.answerHold = timers_.add(now_ + hold, {Timer::Kind::answerHold, c.self});
+}
+
+void FrameConnections::onHoldExpired(Connection& c) {
+  const LengthVerdict verdict = judgeHeldAnswer(c, true);
+  if (verdict == LengthVerdict::right) return releaseHeldAnswer(c);
+  if (verdict == LengthVerdict::wrong) return rejectHeldAnswer(c);
+  holdAnswer(c);
 }
 
 void FrameConnections::releaseHeldAnswer(Connection& c) {
@@ -464,6 +494,12 @@
   if (!handleAnswer(c, answer)) closeForBadFrame(c, "unexpected answer to " + id);
 }
 
+// Closes the connection; the attempt that the answer belongs to may have run.
+void FrameConnections::rejectHeldAnswer(Connection& c) {
+  count(Counter::answersOfWrongLength);
+  closeForBadFrame(c, "the length of the answer to " + c.heldAnswer->id + " is wrong, or noise is behind it");
+}
+
 void FrameConnections::closeForBadFrame(Connection& c, const std::string& frame) {
   count(Counter::badFrames);
   log("malformed or unexpected frame from " + c.server + ": " + frame.substr(0, kMaxLoggedFrameBytes));
@@ -562,7 +598,7 @@
 
 void FrameConnections::failed(Handle connection, const char* reason) {
   Connection* c = connections_.get(connection);
-  if (c && c->heldAnswer && !c->reader.partial()) releaseHeldAnswer(*c);  // nothing more will follow it
+  if (c && c->heldAnswer && judgeHeldAnswer(*c, true) == LengthVerdict::right) releaseHeldAnswer(*c);
   // A leaf server may close a connection that is idle.
   if ((c = connections_.get(connection)))
     closeConnection(*c, reason, c->state == ConnectionState::established && c->liveParts == 0);
@@ -661,6 +697,11 @@
       to << cancelled;
       if (cancelled) to.time(*c->lastCancelAt);
       to << (c->heldAnswer ? std::string_view(c->heldAnswer->id) : std::string_view());
+      const bool smallPieces = arrivesInSmallPieces(*c);
+      to << (c->heldAnswer && c->heldAnswerMayBeCut) << smallPieces;
+      if (c->reader.partial()) to.time(c->lastReadAt);
+      if (smallPieces) to.time(*c->lastSmallPieceAt);
+      if (smallPieces) to << std::uint64_t(c->longestPieceGap);
       to << c->reader.unread() << std::uint32_t(c->pastIds.size());
       for (const std::size_t hash : c->pastIds) to << hash;
     }
--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -23,6 +23,7 @@
 #include <string>
 #include <vector>
 
+#include "answer_length.hpp"
 #include "core/counters.hpp"
 #include "core/digest.hpp"
 #include "core/interfaces.hpp"
@@ -64,9 +65,9 @@
   std::size_t maxPastIds = 512;
   // For this long after a part was cancelled its answer may still arrive: it may cross the cancel.
   Micros cancelDelivery = 50'000;
-  // Where frames arrive in small pieces, an answer that ends with a piece is held for this long if the next
-  // answer may follow it, see judgeLength().
-  Micros answerHold = 10'000;
+  // Bounds of the time for which an answer is held while its length is undecided, see judgeLength(). Between
+  // them it follows the intervals at which the pieces of a frame arrive.
+  Micros minAnswerHold = 10'000, maxAnswerHold = 50'000;
   // For how long a connection counts as one on which frames arrive in small pieces.
   Micros smallPieceMemory = 1'000'000;
 };
@@ -158,9 +159,14 @@
     std::size_t queuedBytes = 0;  // approximate
     FrameReader reader;
     std::optional<LeafAnswer> heldAnswer;  // complete, but its length has not been judged yet
+    bool heldAnswerMayBeCut = false;       // see AnswerInStream::mayBeCut
     std::optional<TimerQueue<Timer>::Key> answerHold;
-    std::optional<Micros> lastCancelAt;      // when a part that was begun or written was last abandoned
+    std::optional<Micros> lastCancelAt;  // when a part that was begun or written was last abandoned
+    Micros lastReadAt = 0;
+    std::size_t lastReadBytes = 0;
+    bool frameSpansReads = false;            // the first bytes of the next frame came with an earlier read
     std::optional<Micros> lastSmallPieceAt;  // when a small read last ended within a frame
+    Micros longestPieceGap = 0;              // between reads of one frame, since lastSmallPieceAt was unset
     std::optional<TimerQueue<Timer>::Key> timeout;       // of connecting, later of being idle
     std::optional<TimerQueue<Timer>::Key> frameTimeout;  // of a frame received in part
     std::vector<std::size_t> pastIds;                    // hashes of ids whose answers may come late or twice
@@ -180,13 +186,18 @@
   bool isSilent(const Connection& c) const;
   bool shouldSpread() const;
   void restartIdleTimeout(Connection& c);
-  // Whether the length of an answer's frame is right, as the bytes behind it tell.
-  enum class LengthVerdict : std::uint8_t { right, wrong, undecided };
-  LengthVerdict judgeLength(const Connection& c) const;
+  // `waited`: no further bytes are waited for.
+  LengthVerdict judgeHeldAnswer(const Connection& c, bool waited) const;
   bool otherMayAnswer(const Connection& c, const PartOnConnection& answered) const;
+  bool arrivesInSmallPieces(const Connection& c) const;
+  bool mayBeCutBehindFrame(const Connection& c) const;
+  void noteRead(Connection& c, std::size_t bytes);
+  void noteReadEnd(Connection& c);
   void processFrames(Handle connection);
   void holdAnswer(Connection& c);
+  void onHoldExpired(Connection& c);
   void releaseHeldAnswer(Connection& c);
+  void rejectHeldAnswer(Connection& c);
   void closeForBadFrame(Connection& c, const std::string& frame);
   // Returns false if the answer is a fault; the caller then closes the connection.
   bool handleAnswer(Connection& c, LeafAnswer& answer);
--- a/src/leaf/frame/frame.cpp
+++ b/src/leaf/frame/frame.cpp
@@ -12,7 +12,7 @@
 // frame with a greater length is malformed.
 constexpr std::uint32_t kMaxFrameBytes = 65 * 1024;
 constexpr std::size_t kLengthBytes = 4;
-static_assert(kMaxFrameBytes < 1U << 24, "the last byte of a length is 0, see FrameReader::following()");
+static_assert(kMaxFrameBytes < 1U << 24, "the last byte of a length is 0, see FrameReader::classify()");
 // Limit of an answer's first line; without it the reader would wait for a line end that never comes.
 constexpr std::size_t kMaxLineBytes = 1024;
 
@@ -40,29 +40,35 @@
   return load;
 }
 
-// Values are put into JSON unchanged, so they have to be valid UTF-8.
-bool isUtf8(std::string_view text) {
-  for (std::size_t k = 0; k < text.size();) {
-    const auto byte = [&](std::size_t at) {
-      return at < text.size() ? static_cast<unsigned char>(text[at]) : 0u;
-    };
-    const unsigned first = byte(k);
-    const int following = first < 0x80       ? 0
-                          : first >> 5 == 6  ? 1
-                          : first >> 4 == 14 ? 2
-                          : first >> 3 == 30 ? 3
-                                             : -1;
-    if (following < 0) return false;
-    unsigned code = following == 0 ? first : first & (0x3fu >> following);
-    for (int j = 1; j <= following; ++j) {
-      if (byte(k + std::size_t(j)) >> 6 != 2) return false;
-      code = code << 6 | (byte(k + std::size_t(j)) & 0x3f);
-    }
-    static constexpr unsigned minCode[4] = {0, 0x80, 0x800, 0x10000};
-    if (code < minCode[following] || code > 0x10ffff || (code >= 0xd800 && code < 0xe000)) return false;
-    k += std::size_t(following) + 1;
+// The length in bytes of the UTF-8 sequence that the text starts with; 0 if it starts with none.
+std::size_t utf8SequenceLength(std::string_view text) {
+  const auto byte = [&](std::size_t at) {
+    return at < text.size() ? static_cast<unsigned char>(text[at]) : 0u;
+  };
+  const unsigned first = byte(0);
+  const int following = first < 0x80       ? 0
+                        : first >> 5 == 6  ? 1
+                        : first >> 4 == 14 ? 2
+                        : first >> 3 == 30 ? 3
+                                           : -1;
+  if (text.empty() || following < 0) return 0;
+  unsigned code = following == 0 ? first : first & (0x3fu >> following);
+  for (int k = 1; k <= following; ++k) {
+    if (byte(std::size_t(k)) >> 6 != 2) return 0;
+    code = code << 6 | (byte(std::size_t(k)) & 0x3f);
   }
-  return true;
+  static constexpr unsigned minCode[4] = {0, 0x80, 0x800, 0x10000};
+  if (code < minCode[following] || code > 0x10ffff || (code >= 0xd800 && code < 0xe000)) return 0;
+  return std::size_t(following) + 1;
+}
+
+// The length field at the start of a frame, as far as its bytes have arrived.
+std::uint32_t frameLength(std::string_view bytes) {
+  const std::string_view field = bytes.substr(0, kLengthBytes);
+  std::uint32_t out = 0;
+  for (std::size_t k = 0; k < field.size(); ++k)
+    out |= std::uint32_t(static_cast<unsigned char>(field[k])) << (8 * k);
+  return out;
 }
 
 }  // namespace
@@ -110,42 +116,44 @@
   if (!parseNumber(fields[2], out.score) && fields[2] != "-") return std::nullopt;
   if (fields[3] != "-" && !fields[3].empty()) out.load = parseLoadReport(fields[3]);
   out.value = content.substr(end + 1);
-  // A frame whose length is too great includes the header of the next frame, whose length contains a zero
-  // byte.
-  if (out.value.find('\0') != std::string::npos || !isUtf8(out.value)) return std::nullopt;
+  if (valueTextLength(out.value) != out.value.size()) return std::nullopt;
   return out;
 }
 
-std::uint32_t FrameReader::length() const {
-  std::uint32_t out = 0;
-  const std::string_view bytes = unread().substr(0, kLengthBytes);
-  for (std::size_t k = 0; k < bytes.size(); ++k)
-    out |= std::uint32_t(static_cast<unsigned char>(bytes[k])) << (8 * k);
-  return out;
+// Values are put into JSON unchanged, so they have to be valid UTF-8. Zero bytes are excluded because a frame
+// whose length is too great includes the header of the next frame, whose length contains one.
+std::size_t valueTextLength(std::string_view bytes) {
+  std::size_t length = 0;
+  while (length < bytes.size() && bytes[length] != '\0') {
+    const std::size_t sequence = utf8SequenceLength(bytes.substr(length));
+    if (sequence == 0) break;
+    length += sequence;
+  }
+  return length;
 }
 
-FrameReader::Following FrameReader::following() const {
-  const std::string_view bytes = unread();
-  if (bytes.empty()) return Following::none;
-  const std::uint32_t known = length();
-  if (known > kMaxFrameBytes) return Following::invalid;
+FrameReader::FrameStart FrameReader::classify(std::string_view bytes) const {
+  if (bytes.empty()) return FrameStart::none;
+  const std::uint32_t known = frameLength(bytes);
+  if (known > kMaxFrameBytes) return FrameStart::invalid;
   // The byte that is still missing is 0, so these three must not all be 0.
-  if (bytes.size() >= kLengthBytes - 1 && known == 0) return Following::invalid;
-  if (bytes.size() <= kLengthBytes) return Following::incomplete;
-  return letters_.find(bytes[kLengthBytes]) == std::string_view::npos ? Following::invalid : Following::valid;
+  if (bytes.size() >= kLengthBytes - 1 && known == 0) return FrameStart::invalid;
+  if (bytes.size() <= kLengthBytes) return FrameStart::incomplete;
+  return letters_.find(bytes[kLengthBytes]) == std::string_view::npos ? FrameStart::invalid
+                                                                      : FrameStart::valid;
 }
 
 FrameReader::State FrameReader::next(Frame& out) {
   // A malformed frame is rejected as early as possible, before it is complete: with a wrong length, the
   // following answers would be read as part of its content.
-  const Following start = following();
-  if (start == Following::invalid) return State::malformed;
-  if (start != Following::valid) {
+  const FrameStart start = classify(unread());
+  if (start == FrameStart::invalid) return State::malformed;
+  if (start != FrameStart::valid) {
     buffer_.erase(0, from_);
     from_ = 0;
     return State::needMore;
   }
-  const std::uint32_t length = this->length();
+  const std::uint32_t length = frameLength(unread());
   const std::string_view received = unread().substr(kLengthBytes, std::size_t(length));
   if (received.size() > kMaxLineBytes && received[0] == 'O' &&
       received.substr(0, kMaxLineBytes).find('\n') == std::string_view::npos)
--- a/src/leaf/frame/frame.hpp
+++ b/src/leaf/frame/frame.hpp
@@ -33,6 +33,8 @@
 // The answer in a frame with letter O: the line `ID STATUS SCORE REPORT`, then the value. None if it is
 // malformed.
 std::optional<LeafAnswer> readAnswer(const Frame& frame);
+// The length of the longest prefix that may be part of a value: UTF-8 without zero bytes.
+std::size_t valueTextLength(std::string_view bytes);
 
 // Splits the bytes that are received on a connection into frames.
 class FrameReader {
@@ -44,17 +46,14 @@
   // Reads the next frame into `out` if it is complete. After `malformed` the connection must be closed.
   State next(Frame& out);
   bool partial() const { return buffer_.size() > from_; }  // after `needMore`: a frame is received in part
-  // What the bytes behind the frames read so far are: none, too few to tell, the start of a frame, or bytes
-  // that no frame starts with. `invalid` means that the length of the frame before them is wrong, or that
-  // the peer has sent bytes that belong to no frame.
-  enum class Following { none, incomplete, valid, invalid };
-  Following following() const;
-  // The bytes that are not read as frames yet; for the checker.
+  // What some bytes are: none, too few to tell, the start of a frame, or bytes that no frame starts with.
+  enum class FrameStart { none, incomplete, valid, invalid };
+  FrameStart classify(std::string_view bytes) const;
+  // The bytes behind the frames read so far. If they are invalid as the start of a frame, the length of the
+  // frame before them is wrong, or the peer has sent bytes that belong to no frame.
   std::string_view unread() const { return std::string_view(buffer_).substr(from_); }
 
  private:
-  std::uint32_t length() const;  // of the next frame, as far as its bytes have arrived
-
   std::string_view letters_;
   std::string buffer_;
   std::size_t from_ = 0;  // where the next frame begins in the buffer
--- a/src/tool/check.cpp
+++ b/src/tool/check.cpp
@@ -50,6 +50,8 @@
      "own-value"},
     {"length-trusted", InjectedFault::lengthTrusted,
      "an answer counts although the bytes behind it show that its length is wrong", "own-value"},
+    {"lone-length-trusted", InjectedFault::loneLengthTrusted,
+     "the same, but only while no other answer is outstanding on the connection", "own-value"},
     {"leak-on-withdraw", InjectedFault::leakOnWithdraw,
      "an attempt withdrawn in the turn that created it still counts as outstanding", "no-leak"},
     {"short-answer", InjectedFault::shortAnswer,
--- a/tests/frame_connections_test.cpp
+++ b/tests/frame_connections_test.cpp
@@ -168,11 +168,80 @@
     }
 }
 
-// Guards against a cost of the check for good answers: whole, in pieces, behind each other, with a second
-// copy or noise behind them when nothing else is outstanding.
+// Guards against a value that is cut short and served as exact: the length of the answer is too small, and no
+// other answer is outstanding on the connection.
+TEST(FrameLength, WrongLengthOfTheOnlyAnswerIsAFailedAttemptThatMayHaveRun) {
+  for (const std::string& value : {kValue, std::string("caf\xc3\xa9 \xe2\x82\xac\xe2\x82\xac")})
+    for (int missing = 1; missing <= int(value.size()); ++missing) {
+      Rig rig;
+      rig.send("q.0");
+      rig.advance(50 * kMs);
+      std::string bytes = writeFrame('O', "q.0 200 7 -\n" + value);
+      bytes[0] = char(bytes[0] - missing);
+      rig.receive("q.0", bytes);
+      rig.advance(20 * kMs);
+      ASSERT_EQ(rig.ends["q.0"].size(), 1U) << missing;
+      EXPECT_EQ(rig.ends["q.0"][0].outcome, Outcome::reset) << missing;
+    }
+}
+
+// Guards against the same with an answer behind it that nothing waits for any more, also where the length is
+// too great: a second copy, or the answer to a part that was cancelled long before.
+TEST(FrameLength, WrongLengthBeforeALateAnswerIsNoticed) {
+  for (const int error : {-16, -5, -4, -3, -2, -1, 1, 2, 3})
+    for (const std::string& late : {answer("q.0"), answer("q.1")}) {
+      Rig rig;
+      const Handle cancelled = rig.send("q.1");
+      rig.advance(10 * kMs);
+      rig.connections.abandon(cancelled);
+      rig.settle();
+      rig.send("q.0");
+      rig.advance(200 * kMs);
+      rig.receive("q.0", answerWithWrongLength("q.0", error) + late);
+      rig.advance(300 * kMs);
+      ASSERT_EQ(rig.ends["q.0"].size(), 1U) << error;
+      EXPECT_EQ(rig.ends["q.0"][0].outcome, Outcome::reset) << error;
+    }
+}
+
+// Guards against the same where the network delivers the bytes in small pieces, wherever they are cut.
+TEST(FrameLength, WrongLengthOfTheOnlyAnswerIsNoticedInPieces) {
+  for (const Micros interval : {3 * kMs, 20 * kMs})
+    for (std::size_t pieceBytes = 7; pieceBytes < 40; ++pieceBytes)
+      for (const int error : {-16, -4, -2, -1}) {
+        Rig rig;
+        rig.send("q.0");
+        rig.receiveInPieces("q.0", answer("q.0"), 20, interval);
+        rig.advance(100 * kMs);
+        rig.send("q.1");
+        rig.receiveInPieces("q.1", answerWithWrongLength("q.1", error), pieceBytes, interval);
+        rig.advance(300 * kMs);
+        ASSERT_EQ(rig.ends["q.1"].size(), 1U) << pieceBytes << " " << error;
+        EXPECT_EQ(rig.ends["q.1"][0].outcome, Outcome::reset) << pieceBytes << " " << error;
+      }
+}
+
+// Guards against the same where a long answer takes several segments, and one ends where its frame claims to.
+TEST(FrameLength, WrongLengthOfALongAnswerIsNoticedBetweenSegments) {
+  for (const std::size_t valueBytes : {600U, 5000U}) {
+    Rig rig;
+    rig.send("q.0");
+    std::string bytes = writeFrame('O', "q.0 200 7 -\n" + std::string(valueBytes, 'v'));
+    bytes[0] = char(bytes[0] - 4);
+    rig.receive("q.0", std::string_view(bytes).substr(0, bytes.size() - 4));
+    rig.advance(kMs);
+    rig.receive("q.0", std::string_view(bytes).substr(bytes.size() - 4));
+    ASSERT_EQ(rig.ends["q.0"].size(), 1U) << valueBytes;
+    EXPECT_EQ(rig.ends["q.0"][0].outcome, Outcome::reset) << valueBytes;
+  }
+}
+
+// Guards against a cost of the check for good answers: whole, behind each other, with a second copy behind
+// them, or with noise that is no text and so cannot be the rest of a value.
 TEST(FrameLength, GoodAnswersAreServed) {
-  const std::string noise = "\x07\x00\xff noise that no frame starts with";
-  for (const std::string& behind : {std::string(), noise, answer("q.0"), noise.substr(0, 1)}) {
+  using std::string_literals::operator""s;
+  for (const std::string& behind : {""s, "\x07\x00\xff noise that no frame starts with"s, "\xff noise"s,
+                                    "abc\x80 abc"s, "\x00\x00\x00\x00\x00"s, answer("q.0")}) {
     Rig rig;
     rig.send("q.0");
     rig.advance(50 * kMs);
@@ -181,6 +250,16 @@
     EXPECT_EQ(rig.ends["q.0"][0].outcome, Outcome::done);
     EXPECT_EQ(rig.ends["q.0"][0].at, rig.now);
   }
+  // Too few bytes to tell them from the header of a second copy.
+  for (const std::string& behind : {"\xff"s, "\x80\x01"s, answer("q.0").substr(0, 2),
+                                    answer("q.0").substr(0, 3), answer("q.0").substr(0, 4)}) {
+    Rig rig;
+    rig.send("q.0");
+    rig.receive("q.0", answer("q.0") + behind);
+    rig.advance(Rig::limits().minAnswerHold);
+    ASSERT_EQ(rig.ends["q.0"].size(), 1U);
+    EXPECT_EQ(rig.ends["q.0"][0].outcome, Outcome::done);
+  }
   Rig together;
   together.send("q.0");
   together.send("q.1");
@@ -201,7 +280,7 @@
     std::string bytes;
     for (int k = 0; k < 7; ++k) bytes += answer("q." + std::to_string(k));
     rig.receiveInPieces("q.0", bytes, pieceBytes);
-    rig.advance(rig.limits().answerHold);
+    rig.advance(rig.limits().minAnswerHold);
     for (int k = 0; k < 7; ++k) {
       const auto& ends = rig.ends["q." + std::to_string(k)];
       ASSERT_EQ(ends.size(), 1U) << pieceBytes << " " << k;
@@ -286,6 +365,7 @@
     bytes += answer(part);
   }
   rig.receiveInPieces("q.0", bytes, 31, 30 * kMs);
+  rig.advance(Rig::limits().maxAnswerHold);
   for (int k = 0; k < 30; ++k) {
     const auto& ends = rig.ends["q." + std::to_string(k)];
     ASSERT_EQ(ends.size(), 1U) << k;
