gRPC: take a unary reply with more than one message for a failed attempt

The check at the end of a unary reply asked only whether the last message is whole; a rest that happens to be a message of its own was passed on with status OK.

Change: such a reply ends as an attempt that may have run, and is repeated where the class allows it.

Test: grpc.lengths with the script `split` (a length 5 too small); failed before.

--- a/src/leaf/grpc/channels.cpp
+++ b/src/leaf/grpc/channels.cpp
@@ -400,8 +400,9 @@
   const std::string* digits = http2::find(trailers, kStatusField);
   const auto status = digits ? grpc::parseStatus(*digits) : std::nullopt;
   if (!status) return onStreamClosed(c, id, {Outcome::error, Status::unknown});
-  // The reply ends within a message: the length of that message is wrong, or its rest is lost.
-  if (*status == Status::ok && !s.exchange->streamed && !s.messages->atMessageBoundary())
+  // The reply ends within a message, or holds several: the length of a message is wrong, or its rest is lost.
+  const bool wholeMessage = s.messages->atMessageBoundary() && s.messages->messages() <= 1;
+  if (*status == Status::ok && !s.exchange->streamed && !wholeMessage)
     return onStreamClosed(c, id, {Outcome::error, Status::internal});
   s.reply->onSpace = s.reply->onCancelled = nullptr;
   s.reply->end(std::move(trailers));
--- a/src/standin/grpc_leaf.cpp
+++ b/src/standin/grpc_leaf.cpp
@@ -206,6 +206,9 @@
     } else if (verb == "toolong" || verb == "tooshort") {
       sendHeaders(*c, id, call);
       session.write(id, std::string("\0\0\0\0", 4) + (verb == "toolong" ? "\4xyz" : "\2xyz"));
+    } else if (verb == "split") {  // the length is 5 too small, and the rest is a whole message
+      sendHeaders(*c, id, call);
+      session.write(id, std::string("\0\0\0\0\3xyz\0\0\0\0\0", 13));
     } else if (verb == "huge") {
       sendHeaders(*c, id, call);
       session.write(id, std::string("\0\x40\0\0\0x", 6));
--- a/src/standin/grpc_leaf.hpp
+++ b/src/standin/grpc_leaf.hpp
@@ -17,6 +17,7 @@
 //   flag             sends a message whose first byte is 7
 //   toolong          sends a message whose prefix has a length that is one byte too large
 //   tooshort         sends a message whose prefix has a length that is one byte too small
+//   split            sends a message whose length is 5 too small, so that its rest is a message of its own
 //   huge             sends a message prefix with a length of 1 GiB
 //   nostatus         ends the call with trailers that contain no status
 //   deaf             stops reopening the request's flow-control window, so that the client must stop sending
--- a/tests/grpc_test.cpp
+++ b/tests/grpc_test.cpp
@@ -387,7 +387,7 @@
 void testReplyLengths() {
   MixerRig rig(3);
   GrpcClient client(rig.loop, rig.server->port());
-  for (const char* script : {"read toolong status=0", "read tooshort status=0"})
+  for (const char* script : {"read toolong status=0", "read tooshort status=0", "read split status=0"})
     for (const char* path : {"/t.S/Unary", "/t.S/Unsafe"}) {
       const std::string id = std::string(script) + path;
       ResultPtr r = client.call(
