Read from clients without a pause, so that a close behind much input is noticed

Cause: the HTTP reader paused at 128 KiB of unprocessed input; the kernel's receive buffer filled behind it and the TCP window closed, so the end of the stream never left the client's machine. checkForClose asked TCP_INFO for it, which cannot know. Evidence: a probe at each check: input 138,613 bytes, 56,293 unread in the kernel, close not known, 393,400 bytes written by the client. The same holds for input that waits unread in the backlog.

Change: reading never pauses. At most 128 KiB of unprocessed input are kept (the parser reads one request ahead), the rest is dropped; complete requests are answered, then the client gets 413. After 16 MiB the open query ends too. A read that fills its buffer is followed by others until nothing is left, before a request is processed; input that may have closed the window while it lay unread waits 20 ms more. checkForClose and its timer are gone. Counter input_overflows.

Tests: scenario.gone_after_much and gone_after_much_unread failed before; much_ahead (also failed: 200 in place of 413) and too_much_ahead are new. gone_while_paused still passes.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -20,6 +20,7 @@
       "clients_gone",
       "clients_gone_unread",
       "requests_delayed",
+      "input_overflows",
       "backstops",
       "defects",
       "sends",
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -24,6 +24,7 @@
   clientsGone,            // queries whose client disconnected
   clientsGoneUnread,      // of those over HTTP, the ones whose client had gone before the query was read
   requestsDelayed,        // HTTP requests that waited 0.1 s or longer in the kernel before they were read
+  inputOverflows,         // HTTP connections that sent more requests ahead of an answer than are kept
   backstops,              // queries that the decision module had not ended shortly before their deadline
   defects,                // internal inconsistencies
   sends,                  // attempts started by the decision module, without skipped ones
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/config.hpp"
+#include "core/drain_socket.hpp"
 #include "core/listen.hpp"
 #include "core/log.hpp"
 #include "core/receive_status.hpp"
@@ -38,16 +39,26 @@
 constexpr int kIdleConnectionsDivisor = 4;
 constexpr Micros kHandOverIdleTime = 300'000;  // idle time after which handOver() closes a connection
 constexpr Micros kAcceptRetryDelay = 20'000;
-constexpr Micros kCloseCheckInterval = 50'000;  // while reading is paused
+constexpr std::size_t kMaxBytesPerDrain = 512UL * 1024;  // bounds the time until other connections are read
+// Input that has waited unread for this long, and is this much, may hide that the client has closed the
+// connection. After it has been read, kInputDelay is time for what follows it to arrive.
+constexpr Micros kUnreadDoubtTime = 50'000;
+constexpr std::size_t kMinHidingBytes = 16UL * 1024;
+constexpr Micros kInputDelay = 20'000;
 // A request that has waited unread for this long is counted and logged.
 constexpr Micros kLongUnreadTime = 100'000;
-constexpr int kQueriedRank = 3;                       // in shedConnection(): the rank that is shed last
-constexpr std::size_t kMaxInputBytes = 128UL * 1024;  // with more unprocessed input, reading pauses
+constexpr int kQueriedRank = 3;  // in shedConnection(): the rank that is shed last
+// Unprocessed input that a connection keeps. Clients send one request at a time, of little over 64 KiB at
+// most; what they send ahead beyond this is dropped.
+constexpr std::size_t kMaxInputBytes = 128UL * 1024;
+// A client that has sent this much beyond kMaxInputBytes is not read any further.
+constexpr std::size_t kMaxDroppedBytes = 16UL << 20;
 constexpr std::size_t kMaxOutputBytes = 64UL * 1024;  // with more unsent output, the next request waits
 
 }  // namespace
 
-// The read loop of one connection; it pauses when the input buffer is full.
+// The read loop of one connection. It never pauses: the end of the stream must be noticed however much the
+// client has sent before it.
 struct HttpServer::Reader : boost::asio::coroutine {
   HttpServer* server;
   std::shared_ptr<Connection> c;
@@ -55,16 +66,13 @@
       : server(owner), c(std::move(connection)) {}
   void operator()(error_code ec = {}, std::size_t bytes = 0) {
     if (c->closed) return;
+    if (ec) return server->close(*c);
     BOOST_ASIO_CORO_REENTER(this) {
-      c->reading = true;
-      while (c->input.size() < kMaxInputBytes) {
+      for (;;) {
         BOOST_ASIO_CORO_YIELD c->socket.async_read_some(boost::asio::buffer(c->readBuffer), *this);
-        if (ec) return server->close(*c);
         server->onReceived(*c, bytes);
         if (c->closed) return;
       }
-      c->reading = false;  // restarted when the input buffer has free space
-      server->checkForClose(*c);
     }
   }
 };
@@ -273,11 +281,7 @@
   c.lastUsedAt = c.requestStartedAt = loop_.now();
   c.requestDueAt = loop_.now() + kRequestTimeout;
   armTimeout(c);
-  startReading(c);
-}
-
-void HttpServer::startReading(Connection& c) {
-  if (!c.reading && !c.closed) Reader(this, connections_.getShared(c.self))();
+  Reader(this, connections_.getShared(h))();
 }
 
 // Each connection has one time-out: for the current or first request to be complete, for the client's close
@@ -317,34 +321,85 @@
   if (c.closing) return;
   const bool first = !c.parser.begun() && c.input.empty();
   if (first) c.requestStartedAt = loop_.now();
-  noteArrival(c, first);
+  const Micros waited = c.droppedBytes == 0 ? noteArrival(c, first) : 0;
   if (first && c.hasRequested) c.requestDueAt = loop_.now() + kRequestTimeout;
-  c.input.append(c.readBuffer.data(), bytes);
-  processInput(c);
+  storeInput(c, {c.readBuffer.data(), bytes});
+  if (bytes < c.readBuffer.size() || readRest(c)) {
+    if (first && waited >= kUnreadDoubtTime && c.input.size() >= kMinHidingBytes) delayInput(c);
+    processInput(c);
+  }
   if (!c.closed && !c.awaitingAnswer && first) armTimeout(c);
 }
 
+// Reads what else has arrived, so that the end of the stream is known before a request is processed. Returns
+// false if that is too much for one go: the reader continues with it.
+bool HttpServer::readRest(Connection& c) {
+  return drainSocket(c.socket, c.readBuffer, kMaxBytesPerDrain,
+                     [&](std::string_view bytes) { storeInput(c, bytes); });
+}
+
+// The bytes have waited unread, and are so many that they may have filled the kernel's receive buffer. Then
+// the client could not send what follows them, perhaps the end of the stream, until they were read just now.
+void HttpServer::delayInput(Connection& c) {
+  c.inputDelayed = true;
+  loop_.deadlines.add(loop_.now() + kInputDelay, [this, h = c.self] {
+    const std::shared_ptr<Connection> guard = connections_.getShared(h);
+    if (!guard) return;
+    guard->inputDelayed = false;
+    processInput(*guard);
+  });
+}
+
+// Keeps what the input buffer has space for. Once bytes were dropped nothing more is kept: it would not
+// continue what is in the buffer.
+void HttpServer::storeInput(Connection& c, std::string_view bytes) {
+  if (c.closing) return;
+  if (c.input.size() + bytes.size() > kMaxInputBytes) parseInput(c);  // frees space
+  std::size_t space = kMaxInputBytes - c.input.size();
+  if (c.droppedBytes > 0) space = 0;
+  const std::size_t kept = std::min(space, bytes.size());
+  c.input.append(bytes.substr(0, kept));
+  if (kept == bytes.size()) return;
+  if (c.droppedBytes == 0) counters_.add(Counter::inputOverflows);
+  c.droppedBytes += bytes.size() - kept;
+  if (c.droppedBytes <= kMaxDroppedBytes) return;
+  if (c.awaitingAnswer) mixer_.abandon(c.query);
+  rejectInputOverflow(c);
+}
+
 // A request's time runs from its arrival on this machine. It may be read much later: at the connection limit
-// a client waits in the backlog, and its deadline must not be extended by that wait.
-void HttpServer::noteArrival(Connection& c, bool startsRequest) {
+// a client waits in the backlog, and its deadline must not be extended by that wait. Returns for how long the
+// bytes have waited.
+Micros HttpServer::noteArrival(Connection& c, bool startsRequest) {
   const Micros waited = receiveStatus(c.socket.native_handle()).sinceLastBytes;
   c.inputArrivedAt = loop_.now() - waited;
-  if (!startsRequest) return;
+  if (!startsRequest) return waited;
   c.requestArrivedAt = c.inputArrivedAt;
-  if (waited < kLongUnreadTime) return;
+  if (waited < kLongUnreadTime) return waited;
   counters_.add(Counter::requestsDelayed);
   logLine("a request waited unread for %d ms", int(waited / 1000));
+  return waited;
+}
+
+// Parses input up to the end of the current request, which the parser then holds until it is taken.
+HttpParser::State HttpServer::parseInput(Connection& c) {
+  std::string_view in = c.input;
+  const HttpParser::State state = c.parser.feed(in);
+  c.input.erase(0, c.input.size() - in.size());
+  return state;
+}
+
+bool HttpServer::mayHandleRequest(const Connection& c) {
+  return !c.closed && !c.closing && !c.awaitingAnswer && !c.inputDelayed;
 }
 
 void HttpServer::processInput(Connection& c) {
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
-  while (!c.closed && !c.awaitingAnswer && !c.closing && !c.input.empty()) {
+  while (mayHandleRequest(c) && (!c.input.empty() || c.parser.begun())) {
     if (c.output.size() > kMaxOutputBytes)
       return;  // the client sends requests but does not read responses; flush() resumes processing
-    std::string_view in = c.input;
-    const HttpParser::State state = c.parser.feed(in);
-    c.input.erase(0, c.input.size() - in.size());
-    if (state == HttpParser::State::needMore) return;
+    const HttpParser::State state = parseInput(c);
+    if (state == HttpParser::State::needMore) break;
     if (state == HttpParser::State::malformed) {
       counters_.add(Counter::badRequests);
       c.keepAlive = false;
@@ -353,6 +408,19 @@
     }
     handleRequest(c, c.parser.take());
   }
+  if (c.droppedBytes > 0 && mayHandleRequest(c)) rejectInputOverflow(c);
+}
+
+// The rest of the requests was dropped, so none can be read any more.
+void HttpServer::rejectInputOverflow(Connection& c) {
+  counters_.add(Counter::badRequests);
+  logLine("connection closed: the client sent over %d bytes of requests ahead of an answer",
+          int(kMaxInputBytes));
+  c.keepAlive = false;
+  const Json body = {{"error", "over " + std::to_string(kMaxInputBytes) +
+                                   " bytes of requests sent ahead of an answer, expected one request at a "
+                                   "time"}};
+  respond(c, writeResponse(413, "", body.dump(), true));
 }
 
 void HttpServer::handleRequest(Connection& c, const HttpMessage& request) {
@@ -406,19 +474,6 @@
   return true;
 }
 
-// While reading is paused the end of the stream is not read. So the kernel is asked for it at intervals: a
-// query must not be worked on for a client that has gone.
-void HttpServer::checkForClose(Connection& c) {
-  if (c.closed || c.reading || c.closeCheck) return;
-  if (receiveStatus(c.socket.native_handle()).peerClosed) return close(c);
-  c.closeCheck = loop_.deadlines.add(loop_.now() + kCloseCheckInterval, [this, h = c.self] {
-    Connection* paused = connections_.get(h);
-    if (!paused) return;
-    paused->closeCheck.reset();
-    checkForClose(*paused);
-  });
-}
-
 // Writes the response to the current request, then goes on with the next request or ends the connection.
 void HttpServer::respond(Connection& c, const std::string& response) {
   // A failed write ends the connection.
@@ -438,12 +493,14 @@
 
 // Processes pipelined input, posted to the loop: not within the turn that answered the previous request.
 void HttpServer::resumeInput(Connection& c) {
-  if (c.closed || c.closing || c.input.empty()) return;
+  if (c.closed || c.closing) return;
+  if (c.input.empty() && !c.parser.begun() && c.droppedBytes == 0) return;
   boost::asio::post(loop_.strand, [this, h = c.self] {
     const std::shared_ptr<Connection> guard = connections_.getShared(h);  // processing may end the connection
     if (!guard) return;
-    processInput(*guard);
-    startReading(*guard);
+    // With bytes unread the kernel may not know the end of the stream. They are read first, by the reader.
+    error_code ec;
+    if (guard->socket.available(ec) == 0) processInput(*guard);
   });
 }
 
@@ -476,7 +533,6 @@
   error_code ignored;
   c.socket.shutdown(tcp::socket::shutdown_send, ignored);
   c.input.clear();
-  startReading(c);
 }
 
 void HttpServer::close(Connection& c) {
@@ -484,7 +540,6 @@
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
   c.closed = true;
   loop_.deadlines.cancel(c.timeout);
-  loop_.deadlines.cancel(c.closeCheck);
   error_code ignored;
   c.socket.close(ignored);
   connections_.remove(c.self);
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -51,7 +51,7 @@
     bool awaitingAnswer = false;  // a request has been read and its response not yet queued
     bool keepAlive = true;        // as the current request asks for, unless the server decides to close
     bool closing = false;         // the last response has been queued; the connection ends after it
-    bool reading = false, writing = false, closed = false;
+    bool writing = false, closed = false;
     bool hasRequested = false;  // has sent a complete request
     bool hasQueried = false;    // has sent a valid query
     Micros requestStartedAt = 0, lastUsedAt = 0;
@@ -60,27 +60,33 @@
     Micros requestArrivedAt = 0, inputArrivedAt = 0;
     Micros requestDueAt = 0;  // by when a request that has begun, or the first one, must be complete
     std::string input, output;
+    // Bytes that arrived when the input buffer was full. The requests before them are the last ones then.
+    std::size_t droppedBytes = 0;
+    bool inputDelayed = false;  // processing waits for bytes that are on their way, see delayInput()
     std::array<char, 8192> readBuffer;
     std::optional<Deadlines::Key> timeout;
-    std::optional<Deadlines::Key> closeCheck;  // while reading is paused, see checkForClose()
   };
   struct Reader;
   struct Acceptor;
 
   void onAccepted(tcp::socket socket);
   void onReceived(Connection& c, std::size_t bytes);
-  void noteArrival(Connection& c, bool startsRequest);
+  void storeInput(Connection& c, std::string_view bytes);
+  static HttpParser::State parseInput(Connection& c);
+  static bool mayHandleRequest(const Connection& c);
+  bool readRest(Connection& c);
+  void delayInput(Connection& c);
+  Micros noteArrival(Connection& c, bool startsRequest);
   void processInput(Connection& c);
   void handleRequest(Connection& c, const HttpMessage& request);
-  void checkForClose(Connection& c);
   bool closeIfClientGone(Connection& c, int cls);
+  void rejectInputOverflow(Connection& c);
   void respond(Connection& c, const std::string& response);
   void flush(Connection& c);
   void resumeInput(Connection& c);
   void shutdownSend(Connection& c);
   void close(Connection& c);
   void armTimeout(Connection& c);
-  void startReading(Connection& c);
   bool isIdle(const Connection& c) const;
   void onTimeout(Connection& c);
   // At the connection limit: closes the connection whose loss does the least harm. Returns false if none may
