Take a pipelined request's time from its own arrival, not from the latest bytes

Cause: arrival was kept for the connection. HttpServer::respond gave the next pipelined request the arrival of the latest bytes of all. Evidence: scenario.pipelined_time_more, in which a query that came 1.3 s before tells 7,696 ms of 8,000, counted from the query that came 1 s after it.

Change: a connection's input is a module of its own, front/http/request_input, without I/O. It keeps the arrival of each piece (256 at most) and gives each request the arrival of its first byte; the bound of 128 KiB and what is dropped beyond it moved there too.

Tests: scenario.pipelined_time_more failed before; RequestInput.* are new (arrivals, bounds, tiny chunks).

--- /dev/null
+++ b/src/front/http/request_input.hpp
@@ -0,0 +1,59 @@
+// The input of one client connection: bytes that have been read, divided into requests. No I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+#include "core/interfaces.hpp"
+#include "http/http.hpp"
+
+namespace cometdeal::net {
+
+// A complete request.
+struct ReceivedRequest {
+  HttpMessage message;
+  // When its first byte reached this machine, in microseconds on the clock of Loop::now(). Earlier than that
+  // at most where many small pieces were received, see RequestInput::kMaxArrivals.
+  Micros arrivedAt = 0;
+};
+
+// Keeps a bounded number of bytes. Clients send one request at a time, of little over 64 KiB at most; what
+// they send ahead beyond the bound is dropped.
+class RequestInput {
+ public:
+  static constexpr std::size_t kMaxBytes = 128UL * 1024;  // unparsed ones
+  static constexpr std::size_t kMaxArrivals = 256;        // remembered; later bytes count with the last one
+
+  // Once bytes were dropped nothing more is kept: it would not continue what is there. `arrivedAt`: when the
+  // bytes reached this machine.
+  void append(std::string_view bytes, Micros arrivedAt);
+  // Parses up to the end of the current request. `done`: take() returns it. `malformed`: see errorStatus().
+  HttpParser::State parse();
+  ReceivedRequest take();
+  int errorStatus() const { return parser_.errorStatus(); }
+  void discard();  // all unparsed bytes
+
+  bool empty() const { return bytes_.empty() && !parser_.begun(); }  // no part of a request is here
+  std::size_t unparsedBytes() const { return bytes_.size(); }
+  std::uint64_t droppedBytes() const { return droppedBytes_; }
+
+ private:
+  struct Arrival {
+    std::uint64_t offset = 0;  // of the first byte of a piece, counted from the first byte ever appended
+    Micros at = 0;
+  };
+  Micros arrivalOf(std::uint64_t offset) const;
+  void forgetArrivalsBefore(std::uint64_t offset);
+
+  HttpParser parser_{HttpParser::Kind::request};
+  std::string bytes_;              // not parsed yet
+  std::uint64_t parsedBytes_ = 0;  // offset of the first unparsed byte
+  std::deque<Arrival> arrivals_;   // in the order of their offsets; the first one covers parsedBytes_
+  Micros requestArrivedAt_ = 0;    // of the current request
+  std::uint64_t droppedBytes_ = 0;
+};
+
+}  // namespace cometdeal::net
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -48,10 +48,7 @@
 // A request that has waited unread for this long is counted and logged.
 constexpr Micros kLongUnreadTime = 100'000;
 constexpr int kQueriedRank = 3;  // in shedConnection(): the rank that is shed last
-// Unprocessed input that a connection keeps. Clients send one request at a time, of little over 64 KiB at
-// most; what they send ahead beyond this is dropped.
-constexpr std::size_t kMaxInputBytes = 128UL * 1024;
-// A client that has sent this much beyond kMaxInputBytes is not read any further.
+// A client that has sent this much beyond RequestInput::kMaxBytes is not read any further.
 constexpr std::size_t kMaxDroppedBytes = 16UL << 20;
 constexpr std::size_t kMaxOutputBytes = 64UL * 1024;  // with more unsent output, the next request waits
 
@@ -208,7 +205,7 @@
 }
 
 bool HttpServer::isIdle(const Connection& c) const {
-  if (c.awaitingAnswer || c.writing || !c.input.empty() || c.parser.begun()) return false;
+  if (c.awaitingAnswer || c.writing || !c.input.empty()) return false;
   error_code ec;
   return c.socket.available(ec) == 0;
 }
@@ -227,7 +224,7 @@
   for (const Handle h : connections_.all()) {
     const Connection& c = *connections_.get(h);
     if (c.awaitingAnswer) continue;
-    const bool begun = !c.input.empty() || c.parser.begun();
+    const bool begun = !c.input.empty();
     if (c.closing)
       order.push_back({{0, c.lastUsedAt}, h});
     else if (c.writing || (begun && loop_.now() - c.requestStartedAt < kPartialRequestGrace))
@@ -259,9 +256,7 @@
   Connection* oldest = nullptr;
   for (const Handle h : connections_.all()) {
     Connection* c = connections_.get(h);
-    if (!c->hasQueried || c->awaitingAnswer || c->closing || c->writing || !c->input.empty() ||
-        c->parser.begun())
-      continue;
+    if (!c->hasQueried || c->awaitingAnswer || c->closing || c->writing || !c->input.empty()) continue;
     ++idleCount;
     if (!oldest || c->lastUsedAt < oldest->lastUsedAt) oldest = c;
   }
@@ -290,7 +285,7 @@
 void HttpServer::armTimeout(Connection& c) {
   loop_.deadlines.cancel(c.timeout);
   if (c.closed || c.awaitingAnswer) return;
-  const bool begun = c.parser.begun() || !c.input.empty();
+  const bool begun = !c.input.empty();
   const Micros at = c.closing ? loop_.now() + kLingerTimeout
                     : begun || !c.hasRequested
                         ? c.requestDueAt
@@ -306,26 +301,33 @@
   if (c.closing || c.writing) return close(c);  // the client does not read its responses, or does not close
   // Input that has arrived but not been read yet may be a complete request, which must not be dropped.
   error_code ec;
-  if (c.socket.available(ec) > 0 && !c.parser.begun() && c.input.empty()) {
+  if (c.socket.available(ec) > 0 && c.input.empty()) {
     c.requestDueAt = loop_.now() + kRequestTimeout;
     return armTimeout(c);
   }
-  if (!c.parser.begun() && c.input.empty()) return close(c);
+  if (c.input.empty()) return close(c);
   counters_.add(Counter::badRequests);
   c.keepAlive = false;
   respond(c, writeResponse(408, "", "", true));
 }
 
+// A request's time runs from its arrival on this machine. It may be read much later: at the connection limit
+// a client waits in the backlog, and its deadline must not be extended by that wait.
 void HttpServer::onReceived(Connection& c, std::size_t bytes) {
   // After the last response, input is read and discarded: left unread, it would cause a reset.
   if (c.closing) return;
-  const bool first = !c.parser.begun() && c.input.empty();
+  const bool first = c.input.empty();
   if (first) c.requestStartedAt = loop_.now();
-  const Micros waited = c.droppedBytes == 0 ? noteArrival(c, first) : 0;
   if (first && c.hasRequested) c.requestDueAt = loop_.now() + kRequestTimeout;
-  storeInput(c, {c.readBuffer.data(), bytes});
-  if (bytes < c.readBuffer.size() || readRest(c)) {
-    if (first && waited >= kUnreadDoubtTime && c.input.size() >= kMinHidingBytes) delayInput(c);
+  const Micros waited = receiveStatus(c.socket.native_handle()).sinceLastBytes;
+  const Micros arrivedAt = loop_.now() - waited;
+  if (first && waited >= kLongUnreadTime) {
+    counters_.add(Counter::requestsDelayed);
+    logLine("a request waited unread for %d ms", int(waited / 1000));
+  }
+  storeInput(c, {c.readBuffer.data(), bytes}, arrivedAt);
+  if (bytes < c.readBuffer.size() || readRest(c, arrivedAt)) {
+    if (first && waited >= kUnreadDoubtTime && c.input.unparsedBytes() >= kMinHidingBytes) delayInput(c);
     processInput(c);
   }
   if (!c.closed && !c.awaitingAnswer && first) armTimeout(c);
@@ -333,9 +335,9 @@
 
 // Reads what else has arrived, so that the end of the stream is known before a request is processed. Returns
 // false if that is too much for one go: the reader continues with it.
-bool HttpServer::readRest(Connection& c) {
+bool HttpServer::readRest(Connection& c, Micros arrivedAt) {
   return drainSocket(c.socket, c.readBuffer, kMaxBytesPerDrain,
-                     [&](std::string_view bytes) { storeInput(c, bytes); });
+                     [&](std::string_view bytes) { storeInput(c, bytes, arrivedAt); });
 }
 
 // The bytes have waited unread, and are so many that they may have filled the kernel's receive buffer. Then
@@ -350,80 +352,52 @@
   });
 }
 
-// Keeps what the input buffer has space for. Once bytes were dropped nothing more is kept: it would not
-// continue what is in the buffer.
-void HttpServer::storeInput(Connection& c, std::string_view bytes) {
+void HttpServer::storeInput(Connection& c, std::string_view bytes, Micros arrivedAt) {
   if (c.closing) return;
-  if (c.input.size() + bytes.size() > kMaxInputBytes) parseInput(c);  // frees space
-  std::size_t space = kMaxInputBytes - c.input.size();
-  if (c.droppedBytes > 0) space = 0;
-  const std::size_t kept = std::min(space, bytes.size());
-  c.input.append(bytes.substr(0, kept));
-  if (kept == bytes.size()) return;
-  if (c.droppedBytes == 0) counters_.add(Counter::inputOverflows);
-  c.droppedBytes += bytes.size() - kept;
-  if (c.droppedBytes <= kMaxDroppedBytes) return;
+  const bool complete = c.input.droppedBytes() == 0;
+  c.input.append(bytes, arrivedAt);
+  if (complete && c.input.droppedBytes() > 0) counters_.add(Counter::inputOverflows);
+  if (c.input.droppedBytes() <= kMaxDroppedBytes) return;
   if (c.awaitingAnswer) mixer_.abandon(c.query);
   rejectInputOverflow(c);
 }
 
-// A request's time runs from its arrival on this machine. It may be read much later: at the connection limit
-// a client waits in the backlog, and its deadline must not be extended by that wait. Returns for how long the
-// bytes have waited.
-Micros HttpServer::noteArrival(Connection& c, bool startsRequest) {
-  const Micros waited = receiveStatus(c.socket.native_handle()).sinceLastBytes;
-  c.inputArrivedAt = loop_.now() - waited;
-  if (!startsRequest) return waited;
-  c.requestArrivedAt = c.inputArrivedAt;
-  if (waited < kLongUnreadTime) return waited;
-  counters_.add(Counter::requestsDelayed);
-  logLine("a request waited unread for %d ms", int(waited / 1000));
-  return waited;
-}
-
-// Parses input up to the end of the current request, which the parser then holds until it is taken.
-HttpParser::State HttpServer::parseInput(Connection& c) {
-  std::string_view in = c.input;
-  const HttpParser::State state = c.parser.feed(in);
-  c.input.erase(0, c.input.size() - in.size());
-  return state;
-}
-
 bool HttpServer::mayHandleRequest(const Connection& c) {
   return !c.closed && !c.closing && !c.awaitingAnswer && !c.inputDelayed;
 }
 
 void HttpServer::processInput(Connection& c) {
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
-  while (mayHandleRequest(c) && (!c.input.empty() || c.parser.begun())) {
+  while (mayHandleRequest(c) && !c.input.empty()) {
     if (c.output.size() > kMaxOutputBytes)
       return;  // the client sends requests but does not read responses; flush() resumes processing
-    const HttpParser::State state = parseInput(c);
+    const HttpParser::State state = c.input.parse();
     if (state == HttpParser::State::needMore) break;
     if (state == HttpParser::State::malformed) {
       counters_.add(Counter::badRequests);
       c.keepAlive = false;
-      respond(c, writeResponse(c.parser.errorStatus(), "", "", true));
+      respond(c, writeResponse(c.input.errorStatus(), "", "", true));
       return;
     }
-    handleRequest(c, c.parser.take());
+    handleRequest(c, c.input.take());
   }
-  if (c.droppedBytes > 0 && mayHandleRequest(c)) rejectInputOverflow(c);
+  if (c.input.droppedBytes() > 0 && mayHandleRequest(c)) rejectInputOverflow(c);
 }
 
 // The rest of the requests was dropped, so none can be read any more.
 void HttpServer::rejectInputOverflow(Connection& c) {
   counters_.add(Counter::badRequests);
   logLine("connection closed: the client sent over %d bytes of requests ahead of an answer",
-          int(kMaxInputBytes));
+          int(RequestInput::kMaxBytes));
   c.keepAlive = false;
-  const Json body = {{"error", "over " + std::to_string(kMaxInputBytes) +
+  const Json body = {{"error", "over " + std::to_string(RequestInput::kMaxBytes) +
                                    " bytes of requests sent ahead of an answer, expected one request at a "
                                    "time"}};
   respond(c, writeResponse(413, "", body.dump(), true));
 }
 
-void HttpServer::handleRequest(Connection& c, const HttpMessage& request) {
+void HttpServer::handleRequest(Connection& c, const ReceivedRequest& received) {
+  const HttpMessage& request = received.message;
   counters_.add(Counter::requests);
   c.keepAlive = request.keepAlive;
   c.hasRequested = true;
@@ -434,7 +408,7 @@
     if (keepAliveStopped_ || (!c.hasQueried && aboveHalfCapacity())) c.keepAlive = false;
     return respond(c, writeResponse(up ? 200 : 503, "", "", !c.keepAlive));
   }
-  ParsedQuery parsed = parseQuery(request, mixer_.host(), c.requestArrivedAt);
+  ParsedQuery parsed = parseQuery(request, mixer_.host(), received.arrivedAt);
   if (parsed.status == 0 && closeIfClientGone(c, parsed.query.cls)) return;
   parsed.query.deadline = std::min(parsed.query.deadline, answerBy_);
   c.hasQueried = c.hasQueried || parsed.status == 0;
@@ -482,7 +456,6 @@
   c.query = {};
   c.closing = !c.keepAlive;
   c.lastUsedAt = c.requestStartedAt = loop_.now();
-  c.requestArrivedAt = c.inputArrivedAt;           // of a pipelined request: no later than the latest bytes
   c.requestDueAt = loop_.now() + kRequestTimeout;  // applies if part of a pipelined request has arrived
   c.output += response;
   armTimeout(c);
@@ -494,7 +467,7 @@
 // Processes pipelined input, posted to the loop: not within the turn that answered the previous request.
 void HttpServer::resumeInput(Connection& c) {
   if (c.closed || c.closing) return;
-  if (c.input.empty() && !c.parser.begun() && c.droppedBytes == 0) return;
+  if (c.input.empty() && c.input.droppedBytes() == 0) return;
   boost::asio::post(loop_.strand, [this, h = c.self] {
     const std::shared_ptr<Connection> guard = connections_.getShared(h);  // processing may end the connection
     if (!guard) return;
@@ -532,7 +505,7 @@
 void HttpServer::shutdownSend(Connection& c) {
   error_code ignored;
   c.socket.shutdown(tcp::socket::shutdown_send, ignored);
-  c.input.clear();
+  c.input.discard();
 }
 
 void HttpServer::close(Connection& c) {
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -12,8 +12,8 @@
 #include "core/loop.hpp"
 #include "core/mixer.hpp"
 #include "core/slot_table.hpp"
-#include "http/http.hpp"
 #include "query.hpp"
+#include "request_input.hpp"
 
 namespace cometdeal::net {
 
@@ -44,9 +44,9 @@
 
  private:
   struct Connection {
-    explicit Connection(tcp::socket s) : socket(std::move(s)), parser(HttpParser::Kind::request) {}
+    explicit Connection(tcp::socket s) : socket(std::move(s)) {}
     tcp::socket socket;
-    HttpParser parser;
+    RequestInput input;
     Handle self, query;
     bool awaitingAnswer = false;  // a request has been read and its response not yet queued
     bool keepAlive = true;        // as the current request asks for, unless the server decides to close
@@ -55,13 +55,8 @@
     bool hasRequested = false;  // has sent a complete request
     bool hasQueried = false;    // has sent a valid query
     Micros requestStartedAt = 0, lastUsedAt = 0;
-    // When the first bytes of the current request, and the latest bytes of all, reached this machine. They
-    // may have been read later.
-    Micros requestArrivedAt = 0, inputArrivedAt = 0;
     Micros requestDueAt = 0;  // by when a request that has begun, or the first one, must be complete
-    std::string input, output;
-    // Bytes that arrived when the input buffer was full. The requests before them are the last ones then.
-    std::size_t droppedBytes = 0;
+    std::string output;
     bool inputDelayed = false;  // processing waits for bytes that are on their way, see delayInput()
     std::array<char, 8192> readBuffer;
     std::optional<Deadlines::Key> timeout;
@@ -71,14 +66,12 @@
 
   void onAccepted(tcp::socket socket);
   void onReceived(Connection& c, std::size_t bytes);
-  void storeInput(Connection& c, std::string_view bytes);
-  static HttpParser::State parseInput(Connection& c);
+  void storeInput(Connection& c, std::string_view bytes, Micros arrivedAt);
   static bool mayHandleRequest(const Connection& c);
-  bool readRest(Connection& c);
+  bool readRest(Connection& c, Micros arrivedAt);
   void delayInput(Connection& c);
-  Micros noteArrival(Connection& c, bool startsRequest);
   void processInput(Connection& c);
-  void handleRequest(Connection& c, const HttpMessage& request);
+  void handleRequest(Connection& c, const ReceivedRequest& received);
   bool closeIfClientGone(Connection& c, int cls);
   void rejectInputOverflow(Connection& c);
   void respond(Connection& c, const std::string& response);
