Keep 64 KiB behind the request that is parsed ahead; judge waiting input by all it brought

With the parser reading one request ahead, 128 KiB behind it would have raised the memory of a flooded connection by half. A big first request that the parser had consumed no longer hides how much had waited unread. A line end that is cut in two no longer leaves the former request's arrival in place.

--- a/src/front/http/request_input.cpp
+++ b/src/front/http/request_input.cpp
@@ -18,10 +18,10 @@
 }
 
 HttpParser::State RequestInput::parse() {
-  if (!parser_.begun()) {
+  if (!parser_.begun() && !bytes_.empty()) {
     // Line ends between requests belong to none.
     const std::size_t first = bytes_.find_first_not_of("\r\n");
-    if (first != std::string::npos) requestArrivedAt_ = arrivalOf(parsedBytes_ + first);
+    requestArrivedAt_ = arrivalOf(parsedBytes_ + (first == std::string::npos ? 0 : first));
   }
   std::string_view rest = bytes_;
   const HttpParser::State state = parser_.feed(rest);
--- a/src/front/http/request_input.hpp
+++ b/src/front/http/request_input.hpp
@@ -20,12 +20,12 @@
   Micros arrivedAt = 0;
 };
 
-// Keeps a bounded number of bytes. Clients send one request at a time, of little over 64 KiB at most; what
-// they send ahead beyond the bound is dropped.
+// Keeps a bounded number of bytes. Clients send one request at a time; what they send ahead beyond the bound
+// is dropped.
 class RequestInput {
  public:
-  static constexpr std::size_t kMaxBytes = 128UL * 1024;  // unparsed ones
-  static constexpr std::size_t kMaxArrivals = 256;        // remembered; later bytes count with the last one
+  static constexpr std::size_t kMaxBytes = 64UL * 1024;  // behind the request that is being parsed
+  static constexpr std::size_t kMaxArrivals = 256;       // remembered; later bytes count with the last one
 
   // Once bytes were dropped nothing more is kept: it would not continue what is there. `arrivedAt`: when the
   // bytes reached this machine.
@@ -38,6 +38,7 @@
 
   bool empty() const { return bytes_.empty() && !parser_.begun(); }  // no part of a request is here
   std::size_t unparsedBytes() const { return bytes_.size(); }
+  std::uint64_t receivedBytes() const { return parsedBytes_ + bytes_.size() + droppedBytes_; }
   std::uint64_t droppedBytes() const { return droppedBytes_; }
 
  private:
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -43,13 +43,13 @@
 // Input that has waited unread for this long, and is this much, may hide that the client has closed the
 // connection. After it has been read, kInputDelay is time for what follows it to arrive.
 constexpr Micros kUnreadDoubtTime = 50'000;
-constexpr std::size_t kMinHidingBytes = 16UL * 1024;
+constexpr std::uint64_t kMinHidingBytes = 16UL * 1024;
 constexpr Micros kInputDelay = 20'000;
 // A request that has waited unread for this long is counted and logged.
 constexpr Micros kLongUnreadTime = 100'000;
 constexpr int kQueriedRank = 3;  // in shedConnection(): the rank that is shed last
 // A client that has sent this much beyond RequestInput::kMaxBytes is not read any further.
-constexpr std::size_t kMaxDroppedBytes = 16UL << 20;
+constexpr std::uint64_t kMaxDroppedBytes = 16UL << 20;
 constexpr std::size_t kMaxOutputBytes = 64UL * 1024;  // with more unsent output, the next request waits
 
 }  // namespace
@@ -325,9 +325,11 @@
     counters_.add(Counter::requestsDelayed);
     logLine("a request waited unread for %d ms", int(waited / 1000));
   }
+  const std::uint64_t receivedBefore = c.input.receivedBytes();
   storeInput(c, {c.readBuffer.data(), bytes}, arrivedAt);
   if (bytes < c.readBuffer.size() || readRest(c, arrivedAt)) {
-    if (first && waited >= kUnreadDoubtTime && c.input.unparsedBytes() >= kMinHidingBytes) delayInput(c);
+    const std::uint64_t received = c.input.receivedBytes() - receivedBefore;
+    if (first && waited >= kUnreadDoubtTime && received >= kMinHidingBytes) delayInput(c);
     processInput(c);
   }
   if (!c.closed && !c.awaitingAnswer && first) armTimeout(c);
