--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -147,7 +147,9 @@
     Handle self;
     ConnectionState state = ConnectionState::connecting;
     bool blocked = false;
-    std::int64_t establishedAtMs = 0;               // Unix time, as in the discovery list
+    bool frameSpansReads = false;      // the first bytes of the next frame came with an earlier read
+    bool heldAnswerMayBeCut = false;   // see AnswerInStream::mayBeCut
+    std::int64_t establishedAtMs = 0;  // Unix time, as in the discovery list
     std::map<std::string, PartOnConnection> parts;  // by part id
     int liveParts = 0;                              // parts on it that are not abandoned
     std::uint64_t openOrder = 0;                    // sequence number; greater for newer connections
@@ -159,12 +161,10 @@
     std::size_t queuedBytes = 0;  // approximate
     FrameReader reader;
     std::optional<LeafAnswer> heldAnswer;  // complete, but its length has not been judged yet
-    bool heldAnswerMayBeCut = false;       // see AnswerInStream::mayBeCut
     std::optional<TimerQueue<Timer>::Key> answerHold;
     std::optional<Micros> lastCancelAt;  // when a part that was begun or written was last abandoned
     Micros lastReadAt = 0;
     std::size_t lastReadBytes = 0;
-    bool frameSpansReads = false;            // the first bytes of the next frame came with an earlier read
     std::optional<Micros> lastSmallPieceAt;  // when a small read last ended within a frame
     Micros longestPieceGap = 0;              // between reads of one frame, since lastSmallPieceAt was unset
     std::optional<TimerQueue<Timer>::Key> timeout;       // of connecting, later of being idle
