--- a/src/core/drain_socket.hpp
+++ b/src/core/drain_socket.hpp
@@ -11,8 +11,8 @@
 
 // The end of a stream can be read only after all bytes before it, and while these fill the kernel's receive
 // buffer it has not even reached this machine: the peer cannot send it. So whoever must know whether a peer
-// has closed the connection has to read everything first. Passes what is read to `sink`, which returns
-// whether to go on. Returns when nothing more has arrived, or at the end of the stream. `socket` must be
+// has closed the connection has to read everything first. Passes what is read to `sink`. Returns true when
+// nothing more has arrived or the stream has ended, false once `maxBytes` were read. `socket` must be
 // non-blocking, with no asynchronous read under way.
 template <std::size_t size, typename Sink>
 bool drainSocket(boost::asio::ip::tcp::socket& socket, std::array<char, size>& buffer, std::size_t maxBytes,
--- a/src/front/http/request_input.hpp
+++ b/src/front/http/request_input.hpp
@@ -15,8 +15,8 @@
 // A complete request.
 struct ReceivedRequest {
   HttpMessage message;
-  // When its first byte reached this machine, in microseconds on the clock of Loop::now(). Earlier than that
-  // at most where many small pieces were received, see RequestInput::kMaxArrivals.
+  // When its first byte reached this machine, in microseconds on the clock of Loop::now(). An earlier time,
+  // but never a later one, if more than RequestInput::kMaxArrivals pieces were waiting.
   Micros arrivedAt = 0;
 };
 
@@ -25,7 +25,7 @@
 class RequestInput {
  public:
   static constexpr std::size_t kMaxBytes = 64UL * 1024;  // behind the request that is being parsed
-  static constexpr std::size_t kMaxArrivals = 256;       // remembered; later bytes count with the last one
+  static constexpr std::size_t kMaxArrivals = 256;  // pieces; the bytes of further ones count with the last
 
   // Once bytes were dropped nothing more is kept: it would not continue what is there. `arrivedAt`: when the
   // bytes reached this machine.
--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -165,9 +165,9 @@
     std::optional<Micros> lastCancelAt;  // when a part that was begun or written was last abandoned
     Micros lastReadAt = 0;
     std::size_t lastReadBytes = 0;
-    std::optional<Micros> lastSmallPieceAt;  // when a small read last ended within a frame
-    Micros longestPieceGap = 0;              // between reads of one frame, since lastSmallPieceAt was unset
-    std::optional<TimerQueue<Timer>::Key> timeout;       // of connecting, later of being idle
+    std::optional<Micros> lastSmallPieceAt;         // when a small read last ended within a frame
+    Micros longestPieceGap = 0;                     // between reads of one frame, while small pieces arrive
+    std::optional<TimerQueue<Timer>::Key> timeout;  // of connecting, later of being idle
     std::optional<TimerQueue<Timer>::Key> frameTimeout;  // of a frame received in part
     std::vector<std::size_t> pastIds;                    // hashes of ids whose answers may come late or twice
   };
