--- a/tests/soak/clients.hpp
+++ b/tests/soak/clients.hpp
@@ -16,6 +16,7 @@
   double leaveShare = 0.05;     // clients that close before their answer
   double slowShare = 0.03;      // requests that are written in pieces over up to 0.2 s
   double pauseSeconds = 0.035;  // between two queries of a client, on average
+  double timeoutSeconds = 0;    // of every query; 0: 0.7 to 1.2 s, at random
 };
 
 class Clients {
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t kPieceBytes = 7;
+constexpr double kNoticedLag = 0.02;  // seconds; the kernel counts in ticks of up to 10 ms
 
 // The next close of the socket resets its connection.
 void resetOnClose(int socket) {
@@ -65,6 +66,7 @@
   for (;;) {
     const ssize_t size = recv(from, buffer, sizeof buffer, 0);
     if (size <= 0) break;
+    if (from == link->client) noteLag(from);
     const Mode mode = mode_;
     if (mode == Mode::silent) continue;
     const std::string bytes(buffer, std::size_t(size));
@@ -73,6 +75,14 @@
   end(link);
 }
 
+void FaultProxy::noteLag(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return;
+  const double unread = double(info.tcpi_last_data_recv) / 1000;
+  if (unread >= kNoticedLag) onLag_(unread);
+}
+
 // The first direction that ends shuts the other one down; the second one closes the sockets.
 void FaultProxy::end(const std::shared_ptr<Link>& link) {
   const std::lock_guard lock(mutex_);
