Read a query's body in one bounded pass instead of building a tree of its values

What callers saw: beside 12 clients with nested bodies 56 answers in 4 s, p99 0.32 s; beside 60 clients 34.

Cause: the whole body became a tree before anything of it was checked: 30,000 nested arrays cost milliseconds and megabytes each.

The pass keeps the text and the parts, and ends at the first fault, beyond 32 levels or beyond 16 values for each shard plus 1,024. The plan of a query in phases is still read from a tree, after that pass.

--- a/src/front/http/query.cpp
+++ b/src/front/http/query.cpp
@@ -7,11 +7,11 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <set>
 
 #include "config/config.hpp"
 #include "config/json.hpp"
 #include "phases/read_plan.hpp"
+#include "query_body.hpp"
 
 namespace cometdeal::net {
 namespace {
@@ -23,9 +23,7 @@
 constexpr Micros kNetworkAllowance = 3'000;
 constexpr double kMaxTimeoutSeconds = 3600.0;
 
-// Clients round the weights: one may exceed 1, and their sum may differ from 1.
-constexpr double kMaxWeight = 1.001, kWeightSumTolerance = 0.01;
-constexpr double kMaxHintMicros = 1e12;
+constexpr double kWeightSumTolerance = 0.01;  // clients round the weights
 
 // One or more visible ASCII characters without ',' and '='.
 bool isToken(const std::string& text, std::size_t maxSize) {
@@ -40,11 +38,6 @@
   if (text.empty() || ec != std::errc() || at != end || !std::isfinite(value)) return std::nullopt;
   return value;
 }
-bool isTag(const Json& tag) {
-  if (!tag.is_string()) return false;
-  const auto& text = tag.get_ref<const std::string&>();
-  return text.size() == 16 && std::ranges::all_of(text, [](unsigned char c) { return std::isxdigit(c); });
-}
 ParsedQuery rejection(std::string error, int status = 400) {
   ParsedQuery out;
   out.status = status;
@@ -117,43 +110,24 @@
   return std::nullopt;
 }
 
-// Reads the query's text and its parts from the body.
-Rejection readParts(const Json& body, const HostSettings& host, NewQuery& q) {
-  const auto text = body.find("expr"), parts = body.find("parts");
-  if (text == body.end() || !text->is_string()) return rejection("expr is missing or not text");
-  if (parts == body.end() || !parts->is_array() || parts->empty()) return rejection("parts are missing");
-  q.text = text->get<std::string>();
-  std::set<int> seen;
+// Clients round each weight: 35 rounded weights can add up to 0.999985, and no answer would count as
+// complete. So the weights are scaled to add up to 1.
+Rejection takeParts(std::vector<QueryPart> parts, NewQuery& q) {
   double sum = 0;
-  for (const Json& one : *parts) {
-    if (!one.is_object()) return rejection("a part is not an object");
-    const auto shard = one.find("id"), weight = one.find("w");
-    if (shard == one.end() || !shard->is_number_integer()) return rejection("a part has no shard");
-    if (weight == one.end() || !weight->is_number()) return rejection("a part has no weight");
-    const double shardNumber = shard->get<double>(), w = weight->get<double>();
-    if (!(shardNumber >= 0 && shardNumber < host.shards)) return rejection("no such shard");
-    if (!(w > 0 && w <= kMaxWeight)) return rejection("a part's weight is no share");
-    if (!seen.insert(int(shardNumber)).second) return rejection("a part is named twice");
-    if (const auto hint = one.find("hint"); hint != one.end()) {
-      if (!hint->is_number() || !(hint->get<double>() >= 0 && hint->get<double>() <= kMaxHintMicros))
-        return rejection("a part's hint is no time");
-    }
-    if (const auto tag = one.find("tag"); tag != one.end() && !isTag(*tag))
-      return rejection("a part's tag is not 16 hex digits");
-    sum += w;
-    q.parts.push_back({int(shardNumber), w});
-  }
+  for (const QueryPart& part : parts) sum += part.weight;
   if (std::abs(sum - 1.0) > kWeightSumTolerance) return rejection("the weights do not add up to 1");
-  // Clients round each weight: 35 rounded weights can add up to 0.999985, and no answer would count as
-  // complete. So the weights are scaled to add up to 1.
-  for (QueryPart& part : q.parts) part.weight /= sum;
+  for (QueryPart& part : parts) part.weight /= sum;
+  q.parts = std::move(parts);
   return std::nullopt;
 }
 
 // Selects the plan of the query's class, or reads the one in the body where clients may send one.
-Rejection readPlanOf(const Json& body, const HostSettings& host, NewQuery& q) {
+Rejection readPlanOf(const HttpMessage& request, bool hasPlan, const HostSettings& host, NewQuery& q) {
   if (!host.plans.byClass.empty()) q.plan = host.plans.byClass[std::size_t(q.cls)];
-  if (const auto plan = body.find("phases"); plan != body.end() && host.plans.allowInQuery) try {
+  if (!hasPlan || !host.plans.allowInQuery) return std::nullopt;
+  const Json body =
+      Json::parse(request.body, nullptr, false);  // readQueryBody() has bounded what it can cost
+  if (const auto plan = body.find("phases"); plan != body.end()) try {
       q.plan = std::make_shared<const phases::Plan>(
           phases::readPlan(StrictJson("phases", *plan), host.classRequiredShare[std::size_t(q.cls)],
                            host.classMinimumShare[std::size_t(q.cls)]));
@@ -168,10 +142,11 @@
 ParsedQuery parseQuery(const HttpMessage& request, const HostSettings& host, Micros receivedAt) {
   ParsedQuery out;
   if (Rejection bad = readHead(request, host, receivedAt, out.query)) return *bad;
-  const Json body = Json::parse(request.body, nullptr, false);
-  if (!body.is_object()) return rejection("the body is not a JSON object");
-  if (Rejection bad = readParts(body, host, out.query)) return *bad;
-  if (Rejection bad = readPlanOf(body, host, out.query)) return *bad;
+  QueryBodyResult read = readQueryBody(request.body, host.shards);
+  if (read.error) return rejection(std::move(*read.error));
+  out.query.text = std::move(read.body.text);
+  if (Rejection bad = takeParts(std::move(read.body.parts), out.query)) return *bad;
+  if (Rejection bad = readPlanOf(request, read.body.hasPlan, host, out.query)) return *bad;
   return out;
 }
 
