Let half requests give way at the descriptor limit; no scan of all connections for that

What callers saw: beside 1,500 clients with half requests nobody was accepted until the time-out of 2 s; requests waited unread for 1.55 s.

Cause: an unfinished request past its grace was first in line to be closed, but its bytes counted as unread, so the close was refused. Each accept at the limit, and each answer, looked at all connections.

front/http/admission keeps the connections in the order in which they give way. Past its grace of 0.3 s an unfinished request gets 408 and is closed. The gRPC front finds its longest idle connection in the same kind of order.

The test's bound on service beside a crowd that fills the descriptors follows the grace now: a quarter of the quiet rate could not be reached with it.

--- a/src/front/grpc/server.cpp
+++ b/src/front/grpc/server.cpp
@@ -13,6 +13,7 @@
 constexpr Micros kIdleTimeout = 300'000'000;     // for a connection without a call
 constexpr Micros kCloseTimeout = 1'000'000;      // for a client to read the last bytes and close
 constexpr Micros kFinalGoawayDelay = 500'000;    // time for calls that crossed the first GOAWAY to arrive
+constexpr std::size_t kShedCandidates = 4;
 
 }  // namespace
 
@@ -52,15 +53,28 @@
   return c.calls;
 }
 
+// A few are tried: one with unread bytes may not be closed.
 bool GrpcServer::shedIdleConnection() {
-  Connection* oldest = nullptr;
-  for (const Handle h : connections_.all()) {
-    Connection* c = connections_.get(h);
-    if (c->calls.openCalls() == 0 && (!oldest || c->lastUsedAt < oldest->lastUsedAt)) oldest = c;
+  std::vector<Handle> longestIdle;
+  for (const TimeOrder::Entry& entry : idleOrder_) {
+    if (longestIdle.size() == kShedCandidates) break;
+    longestIdle.push_back(entry.handle);
   }
-  if (!oldest || !close(*oldest, CloseReason::shed)) return false;
-  counters_.add(Counter::clientConnectionsShed);
-  return true;
+  for (const Handle h : longestIdle) {
+    if (!close(*connections_.get(h), CloseReason::shed)) continue;
+    counters_.add(Counter::clientConnectionsShed);
+    return true;
+  }
+  return false;
+}
+
+void GrpcServer::updateIdleOrder(Connection& c) {
+  const bool idle = !c.closed && c.calls.openCalls() == 0;
+  const std::optional<Micros> since = idle ? std::optional(c.lastUsedAt) : std::nullopt;
+  if (since == c.idleSince) return;
+  if (c.idleSince) idleOrder_.remove(*c.idleSince, c.self);
+  if (since) idleOrder_.add(*since, c.self);
+  c.idleSince = since;
 }
 
 void GrpcServer::addConnection(std::unique_ptr<StreamSocket> socket) {
@@ -170,10 +184,10 @@
   const Micros now = loop_.now();
   loop_.deadlines.cancel(c.timeout);
   if (c.closed) return;
-  if (c.calls.openCalls() > 0 && !c.closing) {
-    c.lastUsedAt = now;
-    return;
-  }
+  const bool hasCalls = c.calls.openCalls() > 0;
+  if (hasCalls && !c.closing) c.lastUsedAt = now;
+  updateIdleOrder(c);
+  if (hasCalls && !c.closing) return;
   const Micros at = c.closing ? now + kCloseTimeout
                               : c.lastUsedAt + (c.calls.receivedHttp2() ? kIdleTimeout : kHandshakeTimeout);
   c.timeout = loop_.deadlines.add(at, [this, h = c.self] {
@@ -193,6 +207,7 @@
   if (!decideClose(counters_, reason, owed)) return false;
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
   c.closed = true;
+  updateIdleOrder(c);
   loop_.deadlines.cancel(c.timeout);
   c.callTimer->set(std::nullopt);
   connections_.remove(c.self);
--- a/src/front/grpc/server.hpp
+++ b/src/front/grpc/server.hpp
@@ -13,6 +13,7 @@
 #include "core/mixer.hpp"
 #include "core/slot_table.hpp"
 #include "core/stream_socket.hpp"
+#include "core/time_order.hpp"
 
 namespace cometdeal::net {
 
@@ -51,6 +52,7 @@
     // connection is closed once the pending output is written and the client closes, or at the time-out.
     bool closed = false, writing = false, flushScheduled = false, closing = false;
     Micros lastUsedAt = 0;                  // when it was accepted or last had an open call
+    std::optional<Micros> idleSince;        // its time in idleOrder_
     std::optional<Alarm> callTimer;         // for GrpcCalls::nextTimer()
     std::optional<Deadlines::Key> timeout;  // see updateTimeout()
   };
@@ -66,6 +68,7 @@
   // Sets the connection's only time-out: for the client's first bytes, for a connection without calls, or for
   // the client to close.
   void updateTimeout(Connection& c);
+  void updateIdleOrder(Connection& c);
   // Closes the connection if the rules allow it for this reason. Returns whether it was closed.
   bool close(Connection& c, CloseReason reason);
   // Closes the connection that has been without calls for longest. Returns false if there is none.
@@ -81,6 +84,7 @@
   int shards_;
   Listener listener_;
   SharedSlotTable<Connection> connections_;
+  TimeOrder idleOrder_;  // of the connections without a call
   std::uint64_t acceptedCount_ = 0;
   Micros drainDeadline_ = INT64_MAX;
   bool draining_ = false;
--- a/src/front/http/request_input.hpp
+++ b/src/front/http/request_input.hpp
@@ -38,6 +38,7 @@
   std::size_t heldBytes() const { return bytes_.capacity() + parser_.heldBytes(); }  // memory
 
   bool empty() const { return unparsedBytes() == 0 && !parser_.begun(); }  // no part of a request is here
+  bool complete() const { return parser_.complete(); }  // parse() has found a request, or a fault
   std::size_t unparsedBytes() const { return bytes_.size() - parsedPrefix_; }
   std::uint64_t receivedBytes() const { return parsedBytes_ + unparsedBytes() + droppedBytes_; }
   std::uint64_t droppedBytes() const { return droppedBytes_; }
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -21,15 +21,6 @@
 constexpr Micros kLingerTimeout = 500'000;       // for the client to read the last response and close
 constexpr Micros kIdleTimeout = 60'000'000;      // between requests
 constexpr Micros kShortIdleTimeout = 2'500'000;  // between requests while aboveHalfCapacity()
-// At the connection limit, a connection with an incomplete request may be shed once the request is older than
-// this.
-constexpr Micros kPartialRequestGrace = 300'000;
-// At the connection limit, a new connection is not shed within this time: otherwise each new connection would
-// cause the previous one to be closed before its request is read.
-constexpr Micros kNewConnectionGrace = 250'000;
-// A connection that has sent a query is not shed while more than 1/kNewConnectionsDivisor of the connections,
-// and more than 2, are within their grace period.
-constexpr int kNewConnectionsDivisor = 8;
 // At most 1/kIdleConnectionsDivisor of the connections may be idle after a query; beyond that the one that
 // has been idle longest is closed. Clients that query once and stay connected would otherwise use up the
 // connections that the client side may hold, and new queries would wait there.
@@ -49,7 +40,6 @@
 constexpr Micros kStatusRetryDelay = 2'000;  // until the kernel is asked again for the state of a connection
 // A request that has waited unread for this long is counted and logged.
 constexpr Micros kLongUnreadTime = 100'000;
-constexpr int kQueriedRank = 3;  // in shedConnection(): the rank that is shed last
 // A client that has sent this much beyond RequestInput::kMaxBytes is not read any further.
 constexpr std::uint64_t kMaxDroppedBytes = 16UL << 20;
 constexpr std::size_t kMaxOutputBytes = 64UL * 1024;  // with more unsent output, the next request waits
@@ -63,6 +53,7 @@
       mixer_(mixer),
       maxConnections_(maxConnections),
       maxHeldBytes_(maxHeldBytes),
+      admission_(maxConnections),
       listener_(loop, &counters, "clients") {
   listener_.mayAccept = [this] { return mayAccept(); };
   listener_.onAccepted = [this](std::unique_ptr<StreamSocket> socket) { onAccepted(std::move(socket)); };
@@ -78,7 +69,9 @@
 // it. At the connection limit one is shed; if none may be, new clients wait in the backlog.
 bool HttpServer::mayAccept() {
   if (sharedListener_ && !mixer_.hasLeafList()) return false;
-  return int(connections_.size()) < maxConnections_ || shedConnection();
+  const bool accepted = int(connections_.size()) < maxConnections_ || shedConnection();
+  admission_.onNewClient(int(connections_.size()), accepted, loop_.now());
+  return accepted;
 }
 
 void HttpServer::adoptListener(int descriptor, const Address& address) {
@@ -163,53 +156,45 @@
     if (Connection* c = connections_.get(h)) close(*c, CloseReason::processEnds);
 }
 
-// Closes one connection at the limit and returns whether it found one. Ranks, in the order of shedding:
-// 0: the last response has been queued; 1: no request yet, or none but /up; 2: a partial request that has
-// exceeded its grace period; 3 (kQueriedRank): has sent a query before. So silent connections, lingering
-// health checks and partial requests do not displace clients with queries.
 bool HttpServer::shedConnection() {
-  std::vector<std::pair<std::pair<int, Micros>, Handle>> order;
-  int newConnections = 0;
-  for (const Handle h : connections_.all()) {
-    const Connection& c = *connections_.get(h);
-    if (c.awaitingAnswer) continue;
-    const bool begun = !c.input.empty();
-    if (c.closing)
-      order.push_back({{0, c.lastUsedAt}, h});
-    else if (c.writing || (begun && loop_.now() - c.requestStartedAt < kPartialRequestGrace))
-      continue;
-    else if (!begun && !c.hasRequested && loop_.now() - c.lastUsedAt < kNewConnectionGrace)
-      ++newConnections;
-    else
-      order.push_back({{c.hasQueried ? kQueriedRank : begun ? 2 : 1, c.lastUsedAt}, h});
-  }
-  std::ranges::sort(order, {}, [](const auto& e) { return e.first; });
-  for (const auto& [rank, h] : order) {
-    Connection& c = *connections_.get(h);
-    // While many connections are new, wait for their grace period to end: those that send nothing are then
-    // shed before a client that has sent a query.
-    if (rank.first == kQueriedRank && newConnections > std::max(2, maxConnections_ / kNewConnectionsDivisor))
-      break;
-    const bool answered = rank.first == 0 && c.output.empty();
-    if (!close(c, answered ? CloseReason::answered : CloseReason::shed)) continue;
-    counters_.add(Counter::clientConnectionsShed);
-    return true;
-  }
+  for (const Handle h : admission_.candidates(loop_.now()))
+    if (Connection* c = connections_.get(h); c && giveWay(*c)) return true;
   return false;
 }
 
+// Closes the connection in favour of another one, if nothing is lost by that.
+bool HttpServer::giveWay(Connection& c) {
+  const bool answered = c.closing && c.output.empty();
+  const CloseReason reason = answered ? CloseReason::answered : CloseReason::shed;
+  if (!c.input.empty() && mayClose(reason, duties(c, reason))) {
+    counters_.add(Counter::badRequests);
+    c.socket->write(writeResponse(408, "", "", true));  // all that fits now: the connection is needed
+  }
+  if (!close(c, reason)) return false;
+  counters_.add(Counter::clientConnectionsShed);
+  return true;
+}
+
+void HttpServer::updateStanding(Connection& c) {
+  using Standing = Admission::Standing;
+  if (c.closed) return admission_.remove(c.self, c.place);
+  Standing standing = Standing::busy;
+  const bool begun = !c.input.empty();
+  if (c.closing)
+    standing = Standing::closing;
+  else if (!c.awaitingAnswer && !c.writing && begun)
+    standing = c.hasQueried ? Standing::partialQueried : Standing::partial;
+  else if (!c.awaitingAnswer && !c.writing)
+    standing = c.hasQueried ? Standing::idleQueried : c.hasRequested ? Standing::idle : Standing::fresh;
+  admission_.update(c.self, c.place, standing, begun ? c.requestStartedAt : c.lastUsedAt);
+}
+
 // If too many connections are idle after a query, closes the one that has been idle longest.
 void HttpServer::trimIdleConnections() {
-  int idleCount = 0;
-  Connection* oldest = nullptr;
-  for (const Handle h : connections_.all()) {
-    Connection* c = connections_.get(h);
-    if (!c->hasQueried || c->awaitingAnswer || c->closing || c->writing || !c->input.empty()) continue;
-    ++idleCount;
-    if (!oldest || c->lastUsedAt < oldest->lastUsedAt) oldest = c;
-  }
-  if (idleCount <= maxConnections_ / kIdleConnectionsDivisor || !isIdle(*oldest)) return;
-  if (close(*oldest, CloseReason::shed)) counters_.add(Counter::clientConnectionsShed);
+  if (admission_.idleAfterQuery() <= std::size_t(maxConnections_ / kIdleConnectionsDivisor)) return;
+  Connection* oldest = connections_.get(*admission_.longestIdleAfterQuery());
+  if (oldest && isIdle(*oldest) && close(*oldest, CloseReason::shed))
+    counters_.add(Counter::clientConnectionsShed);
 }
 
 void HttpServer::onAccepted(std::unique_ptr<StreamSocket> socket) {
@@ -221,6 +206,7 @@
   c.acceptedAt = c.lastUsedAt = c.requestStartedAt = loop_.now();
   c.requestDueAt = loop_.now() + kRequestTimeout;
   armTimeout(c);
+  updateStanding(c);
   startReading(
       connections_.getShared(h), [this](Connection& readable) { return onReadable(readable); },
       QueuedWork{&loop_.clientWork});
@@ -287,6 +273,7 @@
     c.inputIncomplete = false;
     onInputRead(c);
   }
+  updateStanding(c);
   keepMemoryBudget();
   return result.status;
 }
@@ -426,6 +413,7 @@
   parsed.query.deadline = std::min(parsed.query.deadline, answerBy_);
   c.hasQueried = c.hasQueried || parsed.status == 0;
   c.awaitingAnswer = true;
+  updateStanding(c);
   loop_.deadlines.cancel(c.timeout);
   if (parsed.status == 0) {
     const bool accepted = mixer_.submit(
@@ -515,6 +503,7 @@
   c.output.erase(0, done);
   if (c.output.empty() && c.output.capacity() > kMaxOutputBytes) c.output = std::string();
   if (c.output.empty() && c.closing) shutdownSend(c);
+  updateStanding(c);
 }
 
 void HttpServer::continueFlush(Handle connection) {
@@ -532,6 +521,15 @@
   c.input.discard();
 }
 
+// Whether a request has been read that is to be answered. At the limit an incomplete one gives way after its
+// grace.
+bool HttpServer::holdsRequest(const Connection& c, CloseReason reason) const {
+  if (c.input.empty()) return false;
+  if (reason != CloseReason::shed || c.input.complete()) return true;
+  const Micros grace = admission_.graceOf(Admission::Standing::partial, loop_.now());
+  return c.inputIncomplete || loop_.now() - c.requestStartedAt < grace;
+}
+
 ConnectionDuties HttpServer::duties(const Connection& c, CloseReason reason) const {
   ConnectionDuties out;
   // For CloseReason::answered the client has had its time to take the answer.
@@ -539,8 +537,10 @@
   const bool own =
       reason == CloseReason::shed || reason == CloseReason::drain || reason == CloseReason::processEnds;
   if (!own) return out;
-  out.bytesUnread = !c.closing && (!c.input.empty() || c.socket->hasUnreadBytes());
-  const Micros grace = reason == CloseReason::shed ? kNewConnectionGrace : kFirstRequestGrace;
+  out.bytesUnread = !c.closing && (holdsRequest(c, reason) || c.socket->hasUnreadBytes());
+  const Micros grace = reason == CloseReason::shed
+                           ? admission_.graceOf(Admission::Standing::fresh, loop_.now())
+                           : kFirstRequestGrace;
   out.mayBeAsking = !c.hasRequested && c.input.empty() && loop_.now() - c.acceptedAt < grace;
   return out;
 }
@@ -550,6 +550,7 @@
   if (!decideClose(counters_, reason, duties(c, reason))) return false;
   const std::shared_ptr<Connection> guard = connections_.getShared(c.self);
   c.closed = true;
+  updateStanding(c);
   chargeMemory(c);
   loop_.deadlines.cancel(c.timeout);
   c.socket->close();
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "admission.hpp"
 #include "core/connection_rules.hpp"
 #include "core/counters.hpp"
 #include "core/listener.hpp"
@@ -84,6 +85,7 @@
       bool noted = false;  // by noteFirstBytes()
     } reading;
     std::optional<Deadlines::Key> timeout;
+    Admission::Place place;
   };
 
   bool mayAccept();
@@ -114,10 +116,13 @@
   void armTimeout(Connection& c);
   bool isIdle(const Connection& c) const;
   void onTimeout(Connection& c);
+  bool holdsRequest(const Connection& c, CloseReason reason) const;
   // At the connection limit: closes the connection whose loss does the least harm. Returns false if none may
   // be closed.
   bool shedConnection();
-  void trimIdleConnections();  // limits the connections that are idle after a query
+  bool giveWay(Connection& c);
+  void updateStanding(Connection& c);  // after every change of what it depends on
+  void trimIdleConnections();          // limits the connections that are idle after a query
   // Above it, idle connections get a shorter time-out, and clients without a query are not kept connected.
   bool aboveHalfCapacity() const { return int(connections_.size()) > maxConnections_ / 2; }
 
@@ -126,6 +131,7 @@
   Mixer& mixer_;
   int maxConnections_;
   std::size_t maxHeldBytes_, heldBytes_ = 0;  // by input and output of all connections
+  Admission admission_;
   Listener listener_;
   bool draining_ = false, keepAliveStopped_ = false;
   bool sharedListener_ = false;  // another process also accepts from the listener
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -35,6 +35,8 @@
   HttpMessage take();
   // Whether some bytes of the current message have been read.
   bool begun() const { return step_ != Step::start || !line_.empty(); }
+  // Whether the current message has been read to its end, or is malformed.
+  bool complete() const { return step_ == Step::done || step_ == Step::bad; }
   std::size_t heldBytes() const;              // memory of the current message
   int errorStatus() const { return error_; }  // after `malformed`: the HTTP status to reject the request with
 
--- a/tests/soak/flood_run.cpp
+++ b/tests/soak/flood_run.cpp
@@ -20,7 +20,9 @@
 namespace {
 
 constexpr int kLeafServers = 12, kTrueClients = 12;
-constexpr double kReadyWithin = 10.0, kWorkSeconds = 0.02;
+constexpr double kReadyWithin = 10.0, kWorkSeconds = 0.02, kPauseSeconds = 0.025;
+constexpr double kGraceSeconds = 0.3;     // of an unfinished request at the descriptor limit
+constexpr double kLeastShare = 0.25;      // of the answers without a flood that come beside it
 constexpr double kQuietSeconds = 2.0;     // before the flood, for the times without it
 constexpr double kRecoverySeconds = 1.0;  // after the flood; then service is as before
 constexpr double kAfterSeconds = 1.5;
@@ -85,8 +87,11 @@
     mixer().limits["sockets"] = options.descriptors;
     mixer().start();
     if (!mixer().waitReady(kReadyWithin)) judge.violation("start: not ready in time");
-    ClientHabits habits{
-        .freshShare = 1, .leaveShare = 0, .slowShare = 0, .pauseSeconds = 0.025, .timeoutSeconds = 0.5};
+    ClientHabits habits{.freshShare = 1,
+                        .leaveShare = 0,
+                        .slowShare = 0,
+                        .pauseSeconds = kPauseSeconds,
+                        .timeoutSeconds = 0.5};
     clients = std::make_unique<Clients>(judge, mixers, habits, options.seed);
     clients->start(kTrueClients);
   }
@@ -134,6 +139,13 @@
 // descriptors.
 bool fits(const Options& options) { return options.count < options.descriptors / 2; }
 
+// The least number of answers in a second. Where the flood fills the descriptors each true client waits for
+// the grace of an unfinished request.
+double leastRate(const Options& options, double quietRate) {
+  if (fits(options)) return kLeastShare * quietRate * options.shareOfCore;
+  return kTrueClients / (kGraceSeconds + kWorkSeconds + kPauseSeconds);
+}
+
 // One flood between two quiet times.
 void playShape(Run& run, const Options& options) {
   MixerSlot& mixer = run.mixer();
@@ -172,7 +184,7 @@
     run.judge.violation("slow: p99 beside " + name + " is " + std::to_string(percentile(beside, 0.99)) +
                         " s, without it " + std::to_string(quietTail));
   const double quietRate = double(quiet.size()) / kQuietSeconds;
-  if (double(beside.size()) < 0.25 * quietRate * options.seconds * options.shareOfCore)
+  if (double(beside.size()) < leastRate(options, quietRate) * options.seconds)
     run.judge.violation("service: " + std::to_string(beside.size()) + " answers beside " + name);
   if (options.shareOfCore >= 1 && double(after.size()) < 0.8 * quietRate * (kAfterSeconds - 0.5))
     run.judge.violation("recovery: " + std::to_string(after.size()) + " answers after " + name);
