One account of the process's memory; those who hold most of it go first

What callers saw: processes passed their memory limit with crowds (700 half bodies 74 MB, 700 queries with half a request behind them 113 MB, with 32 MB allowed), refused requests of 500 bytes on and on meanwhile, and kept what they had freed.

Causes: the budget knew the input of HTTP clients only, not queries, their parts and values, gRPC bodies, buffers of leaf connections, nor connections; it refused the newest input, which holds least; and emptied strings kept their memory, since assigning an empty string does not free it (RequestInputMemory.DroppedInputFreesItsMemory fails without the change).

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -13,6 +13,7 @@
       "bad_requests",
       "queries_taken",
       "queries_refused_full",
+      "queries_refused_memory",
       "answered_whole",
       "answered_partly",
       "refused",
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -17,6 +17,7 @@
   badRequests,            // malformed or not allowed
   queriesTaken,           // submitted, including those in queriesRefusedFull
   queriesRefusedFull,     // rejected because maxOpen was reached
+  queriesRefusedMemory,   // rejected because the process holds too much
   answeredComplete,       // served with a complete answer
   answeredPartial,        // served with a partial answer
   refused,                // queries refused by the decision module
@@ -56,7 +57,7 @@
   closedByDrain,       // idle while the process ends or hands over
   closesRefused,       // closes that the rule did not allow at that time
   ruleViolations,      // connections closed against the rule; should stay 0
-  memoryRefusals,      // incomplete requests refused because the budget for client input was used up
+  memoryRefusals,      // clients' inputs refused or dropped because the process holds too much
   idsRepeated,         // requests refused because their id may have run shortly before
   reloads,
   reloadsFailed,
--- a/src/core/interfaces.hpp
+++ b/src/core/interfaces.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "memory_account.hpp"
 #include "message_stream.hpp"
 #include "phases/account.hpp"
 #include "settings.hpp"
@@ -30,7 +31,9 @@
   Micros deadline = 0;                        // the client's deadline
   bool repeated = false;                      // the client has sent this query before
   std::vector<QueryPart> parts;
-  std::string text;                    // what is sent to the leaf servers
+  std::string text;  // what is sent to the leaf servers
+  // What the query takes, until all its attempts have ended. Set by the core.
+  std::shared_ptr<MemoryCharge> memory;
   std::shared_ptr<Exchange> exchange;  // used in place of `text` if the request or the answer is streamed
   // For a query in phases. Without a plan the query has one step, or two if its class has a second step. If
   // the first phase of the plan has a text of its own, `text` is for the second phase.
--- a/src/core/loop.hpp
+++ b/src/core/loop.hpp
@@ -1,4 +1,5 @@
-// Event loop of the process's only thread: io_context, strand, timers, work for clients and the turn. Turns
+// Event loop of the process's only thread: io_context, strand, timers, work for clients, the account of
+// memory and the turn. Turns
 // run on request; requests that arrive before the turn starts are merged into one.
 #pragma once
 
@@ -11,6 +12,7 @@
 #include <optional>
 
 #include "deadlines.hpp"
+#include "memory_account.hpp"
 #include "work_queue.hpp"
 
 namespace cometdeal::net {
@@ -64,6 +66,7 @@
   boost::asio::strand<boost::asio::io_context::executor_type> strand;
   Deadlines deadlines;
   WorkQueue clientWork;        // of the fronts
+  MemoryAccount memory;        // held for clients, queries and servers
   std::function<void()> turn;  // runs one turn; set by Mixer
 
  private:
--- a/src/core/mixer.cpp
+++ b/src/core/mixer.cpp
@@ -12,6 +12,12 @@
 
 // Retry hint for clients that are refused because maxOpen is reached, if maxRetryAfter is not set.
 constexpr Micros kFullRetryAfter = 500'000;
+// Of an open query and of each of its parts, with their attempts and their entries in all tables.
+constexpr std::size_t kQueryBytes = 2UL * 1024, kPartBytes = 1024;
+
+std::size_t memoryOf(const NewQuery& query) {
+  return kQueryBytes + query.parts.size() * kPartBytes + query.text.capacity();
+}
 
 Micros unixNow() {
   const auto t = std::chrono::system_clock::now().time_since_epoch();
@@ -113,17 +119,28 @@
   processCommands();
 }
 
+FinalAnswer Mixer::fullAnswer() const {
+  FinalAnswer out;
+  out.kind = FinalAnswer::Kind::refused;
+  if (host().sendRetryAfter) out.retryAfter = config_->settings.maxRetryAfter.value_or(kFullRetryAfter);
+  return out;
+}
+
 bool Mixer::submit(NewQuery query, AnswerCallback answered, Handle& handle) {
+  const std::size_t bytes = memoryOf(query);
+  if (!loop_.memory.mayHold(bytes)) {
+    counters_.add(Counter::queriesRefusedMemory);
+    ++counters_.forClass(host().classNames[std::size_t(query.cls)]).declined;
+    answered(fullAnswer());
+    return true;
+  }
+  query.memory = std::make_shared<MemoryCharge>(loop_.memory, MemoryAccount::Kind::queries, bytes);
   switch (trackerNow().submit(std::move(query), handle)) {
     case QueryTracker::SubmitResult::idInUse:
       return false;
-    case QueryTracker::SubmitResult::full: {
-      FinalAnswer full;
-      full.kind = FinalAnswer::Kind::refused;
-      if (host().sendRetryAfter) full.retryAfter = config_->settings.maxRetryAfter.value_or(kFullRetryAfter);
-      answered(full);
+    case QueryTracker::SubmitResult::full:
+      answered(fullAnswer());
       return true;
-    }
     case QueryTracker::SubmitResult::accepted:
       break;
   }
--- a/src/core/mixer.hpp
+++ b/src/core/mixer.hpp
@@ -53,8 +53,9 @@
   void act(const CloseIdle& a);
   void act(const Subscribe&) {}  // discovery is always subscribed to
   void act(const Note& a);
-  QueryTracker& trackerNow();  // sets the time of the query tracker to the present
-  void processCommands();      // executes the commands of the query tracker, updates the alarm
+  FinalAnswer fullAnswer() const;  // to a query that there is no room for
+  QueryTracker& trackerNow();      // sets the time of the query tracker to the present
+  void processCommands();          // executes the commands of the query tracker, updates the alarm
 
   Loop& loop_;
   Counters& counters_;
--- a/src/core/query_tracker.cpp
+++ b/src/core/query_tracker.cpp
@@ -411,6 +411,7 @@
     }
     part.score = answer.score;
     part.value = std::move(answer.value);
+    if (q->request.memory) q->request.memory->add(part.value.capacity());
     part.reply = std::move(answer.reply);
   } else if (answer.reply && !q->ended) {
     q->request.exchange->lastFailure = std::move(answer.reply);
--- a/src/core/slot_table.hpp
+++ b/src/core/slot_table.hpp
@@ -101,5 +101,8 @@
 
 // The handle as one integer, for use as a key.
 inline std::uint64_t toNumber(Handle h) { return (std::uint64_t(h.generation) << 32) | h.index; }
+inline Handle fromNumber(std::uint64_t number) {
+  return {std::uint32_t(number), std::uint32_t(number >> 32)};
+}
 
 }  // namespace cometdeal::net
--- a/src/front/grpc/calls.cpp
+++ b/src/front/grpc/calls.cpp
@@ -7,6 +7,9 @@
 namespace cometdeal::net {
 namespace {
 
+// A request that has at most this many bytes in memory is kept also when the process holds too much.
+constexpr std::size_t kKeptWhenOver = 4UL * 1024;
+
 using grpc::MethodKind;
 using grpc::Status;
 using http2::Code;
@@ -205,6 +208,9 @@
   request.push(bytes);
   if (!clientStreams(call.route->kind) && request.buffered() > maxBytes + grpc::kMessagePrefixBytes)
     return fail(id, Status::unimplemented, "more than one message where the method takes one");
+  if (context_->memoryIsOver && request.buffered() > kKeptWhenOver && context_->memoryIsOver())
+    return fail(id, Status::resourceExhausted,
+                "no memory is left for a request of this size, expected a smaller one, or this one later");
   // A request that exceeds the replay buffer is no longer retained: the call can no longer be retried or
   // hedged.
   if (request.retained() && clientStreams(call.route->kind) &&
--- a/src/front/grpc/calls.hpp
+++ b/src/front/grpc/calls.hpp
@@ -33,6 +33,7 @@
       submit;
   std::function<void(Handle query)> abandon;  // the answer is no longer needed
   std::function<Micros()> now;                // time on the loop's clock
+  std::function<bool()> memoryIsOver;         // the process holds too much: large calls have to go
   // Asks the server to call nextBytes() soon, when an event from the core or a leaf server has made output
   // available.
   std::function<void()> scheduleFlush;
--- a/src/front/grpc/server.cpp
+++ b/src/front/grpc/server.cpp
@@ -14,6 +14,7 @@
 constexpr Micros kCloseTimeout = 1'000'000;      // for a client to read the last bytes and close
 constexpr Micros kFinalGoawayDelay = 500'000;    // time for calls that crossed the first GOAWAY to arrive
 constexpr std::size_t kShedCandidates = 4;
+constexpr std::size_t kConnectionMemory = 16UL * 1024, kCallMemory = 2UL * 1024;  // without bodies
 
 }  // namespace
 
@@ -86,6 +87,7 @@
   };
   context->abandon = [this](Handle query) { mixer_.abandon(query); };
   context->now = [] { return Loop::now(); };
+  context->memoryIsOver = [this] { return loop_.memory.isOver(); };
   context->config = &config_;
   context->shards = shards_;
   context->classKeyed = classKeyed_;
@@ -93,7 +95,7 @@
   const auto slot = std::make_shared<Handle>();
   context->scheduleFlush = [this, slot] { scheduleFlush(*slot); };
   const Handle h = connections_.add(std::move(socket), std::move(context),
-                                    "g" + std::to_string(++acceptedCount_), loop_.now());
+                                    "g" + std::to_string(++acceptedCount_), loop_.now(), loop_.memory);
   *slot = h;
   Connection& c = *connections_.get(h);
   c.self = h;
@@ -135,6 +137,7 @@
     logLine("closing gRPC client connection: %s", c.calls.closeReason().c_str());
     c.closing = true;
   }
+  chargeMemory(c);
   flush(c);
 }
 
@@ -178,6 +181,11 @@
   }
   c->callTimer->set(c->calls.nextTimer());
   updateTimeout(*c);
+  chargeMemory(*c);
+}
+
+void GrpcServer::chargeMemory(Connection& c) {
+  c.memory.set(kConnectionMemory + c.calls.openCalls() * kCallMemory + c.calls.bufferedBytes());
 }
 
 void GrpcServer::updateTimeout(Connection& c) {
--- a/src/front/grpc/server.hpp
+++ b/src/front/grpc/server.hpp
@@ -42,9 +42,12 @@
  private:
   struct Connection {
     Connection(std::unique_ptr<StreamSocket> s, std::shared_ptr<const FrontContext> context, std::string name,
-               Micros now)
-        : socket(std::move(s)), calls(std::move(context), std::move(name), now) {}
+               Micros now, MemoryAccount& account)
+        : socket(std::move(s)),
+          memory(account, MemoryAccount::Kind::calls),
+          calls(std::move(context), std::move(name), now) {}
     std::unique_ptr<StreamSocket> socket;
+    MemoryCharge memory;
     const std::shared_ptr<WorkQueue::Share> share = std::make_shared<WorkQueue::Share>();
     GrpcCalls calls;
     Handle self;
@@ -69,6 +72,7 @@
   // the client to close.
   void updateTimeout(Connection& c);
   void updateIdleOrder(Connection& c);
+  void chargeMemory(Connection& c);
   // Closes the connection if the rules allow it for this reason. Returns whether it was closed.
   bool close(Connection& c, CloseReason reason);
   // Closes the connection that has been without calls for longest. Returns false if there is none.
--- a/src/front/http/request_input.cpp
+++ b/src/front/http/request_input.cpp
@@ -39,7 +39,7 @@
   parsedPrefix_ += parsed;
   parsedBytes_ += parsed;
   if (parsedPrefix_ > unparsedBytes() || parsedPrefix_ >= kMaxParsedPrefix) removeParsedPrefix();
-  if (bytes_.empty() && bytes_.capacity() > kKeptCapacity) bytes_ = std::string();
+  if (bytes_.empty() && bytes_.capacity() > kKeptCapacity) releaseMemory(bytes_);
   forgetArrivalsBefore(parsedBytes_);
   return state;
 }
@@ -53,10 +53,20 @@
 
 void RequestInput::discard() {
   parsedBytes_ += unparsedBytes();
-  bytes_ = std::string();
+  clear();
+}
+
+void RequestInput::drop() {
+  droppedBytes_ += std::max<std::size_t>(unparsedBytes(), 1);
+  clear();
+}
+
+void RequestInput::clear() {
+  releaseMemory(bytes_);
   parsedPrefix_ = 0;
   arrivals_.clear();
-  parser_ = HttpParser(HttpParser::Kind::request);
+  HttpParser fresh(HttpParser::Kind::request);
+  std::swap(parser_, fresh);  // an assignment would keep the memory
 }
 
 Micros RequestInput::arrivalOf(std::uint64_t offset) const {
--- a/src/front/http/request_input.hpp
+++ b/src/front/http/request_input.hpp
@@ -35,6 +35,7 @@
   ReceivedRequest take();
   int errorStatus() const { return parser_.errorStatus(); }
   void discard();  // all unparsed bytes, and the incomplete request
+  void drop();     // the same; they and all that follows count as dropped
   std::size_t heldBytes() const { return bytes_.capacity() + parser_.heldBytes(); }  // memory
 
   bool empty() const { return unparsedBytes() == 0 && !parser_.begun(); }  // no part of a request is here
@@ -51,6 +52,7 @@
   Micros arrivalOf(std::uint64_t offset) const;
   void forgetArrivalsBefore(std::uint64_t offset);
   void removeParsedPrefix();
+  void clear();
 
   HttpParser parser_{HttpParser::Kind::request};
   std::string bytes_;
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -9,6 +9,7 @@
 #include "core/log.hpp"
 #include "core/read_loop.hpp"
 #include "core/receive_status.hpp"
+#include "http/string_growth.hpp"
 
 namespace cometdeal::net {
 namespace {
@@ -42,17 +43,20 @@
 constexpr Micros kLongUnreadTime = 100'000;
 // A client that has sent this much beyond RequestInput::kMaxBytes is not read any further.
 constexpr std::uint64_t kMaxDroppedBytes = 16UL << 20;
-constexpr std::size_t kMaxOutputBytes = 64UL * 1024;  // with more unsent output, the next request waits
+constexpr std::size_t kKeptOutputCapacity = 1024;    // of an empty buffer, for the next response
+constexpr std::size_t kMaxOutputBytes = 8UL * 1024;  // with more unsent output, the next request waits
+// An input below it is not dropped when the process holds too much. Of the kDropCandidates largest the one
+// that was begun first is.
+constexpr std::size_t kMinDroppedInput = 2UL * 1024;
+constexpr int kDropCandidates = 8;
 
 }  // namespace
 
-HttpServer::HttpServer(Loop& loop, Counters& counters, Mixer& mixer, int maxConnections,
-                       std::size_t maxHeldBytes)
+HttpServer::HttpServer(Loop& loop, Counters& counters, Mixer& mixer, int maxConnections)
     : loop_(loop),
       counters_(counters),
       mixer_(mixer),
       maxConnections_(maxConnections),
-      maxHeldBytes_(maxHeldBytes),
       admission_(maxConnections),
       listener_(loop, &counters, "clients") {
   listener_.mayAccept = [this] { return mayAccept(); };
@@ -200,7 +204,7 @@
 void HttpServer::onAccepted(std::unique_ptr<StreamSocket> socket) {
   counters_.add(Counter::clientConnections);
   socket->setOptions(/*maxUnsentBytes=*/0);
-  const Handle h = connections_.add(std::move(socket));
+  const Handle h = connections_.add(std::move(socket), loop_.memory);
   Connection& c = *connections_.get(h);
   c.self = h;
   c.acceptedAt = c.lastUsedAt = c.requestStartedAt = loop_.now();
@@ -274,7 +278,8 @@
     onInputRead(c);
   }
   updateStanding(c);
-  keepMemoryBudget();
+  chargeMemory(c);
+  relieveMemory();
   return result.status;
 }
 
@@ -330,35 +335,54 @@
 }
 
 void HttpServer::chargeMemory(Connection& c) {
-  const std::size_t held = c.closed ? 0 : c.input.heldBytes() + c.output.capacity();
-  heldBytes_ += held - c.chargedBytes;
-  c.chargedBytes = held;
-}
-
-// Over the budget the newest incomplete request is refused: it has the least to lose, and no complete one is
-// lost.
-void HttpServer::keepMemoryBudget() {
-  while (heldBytes_ > maxHeldBytes_) {
-    Connection* newest = nullptr;
-    for (const Handle h : connections_.all()) {
-      Connection* c = connections_.get(h);
-      chargeMemory(*c);
-      const bool incomplete = !c->awaitingAnswer && !c->closing && !c->writing && !c->inputDelayed &&
-                              !c->inputIncomplete && !c->input.empty();
-      if (incomplete && (!newest || c->requestStartedAt > newest->requestStartedAt)) newest = c;
-    }
-    if (!newest || heldBytes_ <= maxHeldBytes_) return;
-    const std::shared_ptr<Connection> guard = connections_.getShared(newest->self);
-    counters_.add(Counter::memoryRefusals);
-    counters_.add(Counter::badRequests);
-    logLine("an incomplete request is refused: clients' input takes %zu bytes", heldBytes_);
-    newest->keepAlive = false;
-    const Json body = {{"error", "too much input of clients is waiting, expected a complete request"}};
-    respond(*newest, writeResponse(503, "", body.dump(), true));
-    chargeMemory(*newest);
+  c.inputMemory.set(c.closed ? 0 : c.input.heldBytes());
+  c.outputMemory.set(c.closed ? 0 : c.output.capacity());
+  const std::size_t bytes = c.inputMemory.bytes();
+  const std::size_t ranked = bytes < kMinDroppedInput || c.closing ? 0 : bytes;
+  if (ranked == c.rankedBytes) return;
+  if (c.rankedBytes > 0) largestInputs_.erase({c.rankedBytes, toNumber(c.self)});
+  if (ranked > 0) largestInputs_.emplace(ranked, toNumber(c.self));
+  c.rankedBytes = ranked;
+}
+
+// Of the few largest inputs the one that was begun first: a client that sends without a pause is done soon.
+HttpServer::Connection* HttpServer::largestInput() {
+  Connection* out = nullptr;
+  int count = 0;
+  for (auto at = largestInputs_.rbegin(); at != largestInputs_.rend() && count < kDropCandidates;
+       ++at, ++count) {
+    Connection* c = connections_.get(fromNumber(at->second));
+    if (!out || c->requestStartedAt < out->requestStartedAt) out = c;
+  }
+  return out;
+}
+
+// While the process holds too much, those who hold most of it go first.
+void HttpServer::relieveMemory() {
+  while (loop_.memory.isOver()) {
+    Connection* largest = largestInput();
+    if (!largest) return;
+    const std::shared_ptr<Connection> guard = connections_.getShared(largest->self);
+    dropInput(*largest);
+    chargeMemory(*largest);
   }
 }
 
+// Refuses the request that is being read. What was sent ahead of an answer is dropped; the client is told
+// behind that answer.
+void HttpServer::dropInput(Connection& c) {
+  counters_.add(Counter::memoryRefusals);
+  if (c.awaitingAnswer || c.writing) return c.input.drop();
+  counters_.add(Counter::badRequests);
+  logLine("a request is refused: the process holds %zu bytes of %zu, of it %zu for this client",
+          loop_.memory.used(), loop_.memory.limit(), c.inputMemory.bytes());
+  c.keepAlive = false;
+  c.input.discard();
+  const Json body = {
+      {"error", "no memory is left for a request of this size, expected a smaller one, or this one later"}};
+  respond(c, writeResponse(503, "", body.dump(), true));
+}
+
 bool HttpServer::mayHandleRequest(const Connection& c) {
   return !c.closed && !c.closing && !c.awaitingAnswer && !c.inputDelayed && !c.inputIncomplete;
 }
@@ -379,7 +403,9 @@
     }
     const ClientPresence presence = checkPresence(c);
     if (presence == ClientPresence::unknown) return delayInput(c, kStatusRetryDelay);
-    handleRequest(c, c.input.take(), presence);
+    const ReceivedRequest request = c.input.take();
+    chargeMemory(c);
+    handleRequest(c, request, presence);
   }
   if (c.input.droppedBytes() > 0 && mayHandleRequest(c)) rejectInputOverflow(c);
 }
@@ -387,12 +413,11 @@
 // The rest of the requests was dropped, so none can be read any more.
 void HttpServer::rejectInputOverflow(Connection& c) {
   counters_.add(Counter::badRequests);
-  logLine("connection closed: the client sent over %d bytes of requests ahead of an answer",
-          int(RequestInput::kMaxBytes));
+  logLine("connection closed: the client sent more requests ahead of an answer than are kept");
   c.keepAlive = false;
   const Json body = {{"error", "over " + std::to_string(RequestInput::kMaxBytes) +
-                                   " bytes of requests sent ahead of an answer, expected one request at a "
-                                   "time"}};
+                                   " bytes of requests sent ahead of an answer, or more than there is "
+                                   "memory for; expected one request at a time"}};
   respond(c, writeResponse(413, "", body.dump(), true));
 }
 
@@ -501,8 +526,9 @@
     done += result.bytes;
   }
   c.output.erase(0, done);
-  if (c.output.empty() && c.output.capacity() > kMaxOutputBytes) c.output = std::string();
+  if (c.output.empty() && c.output.capacity() > kKeptOutputCapacity) releaseMemory(c.output);
   if (c.output.empty() && c.closing) shutdownSend(c);
+  chargeMemory(c);
   updateStanding(c);
 }
 
--- a/src/front/http/server.hpp
+++ b/src/front/http/server.hpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "admission.hpp"
@@ -22,11 +23,7 @@
 // Serves HTTP/1.1 clients on one listener, up to a maximum number of connections.
 class HttpServer {
  public:
-  static constexpr std::size_t kDefaultHeldBytes = 96UL << 20;
-
-  // `maxHeldBytes`: memory that input and output of all connections may take.
-  HttpServer(Loop& loop, Counters& counters, Mixer& mixer, int maxConnections,
-             std::size_t maxHeldBytes = kDefaultHeldBytes);
+  HttpServer(Loop& loop, Counters& counters, Mixer& mixer, int maxConnections);
   void listen(const Address& address);  // throws SystemFailure; port 0 selects a free port
   std::uint16_t port() const { return listener_.port(); }
   // In place of listen(): accepts from an inherited socket that listens on `address` and that another process
@@ -57,8 +54,14 @@
 
  private:
   struct Connection {
-    explicit Connection(std::unique_ptr<StreamSocket> s) : socket(std::move(s)) {}
+    Connection(std::unique_ptr<StreamSocket> s, MemoryAccount& account)
+        : socket(std::move(s)),
+          fixedMemory(account, MemoryAccount::Kind::connections, kConnectionBytes),
+          inputMemory(account, MemoryAccount::Kind::input),
+          outputMemory(account, MemoryAccount::Kind::output) {}
     std::unique_ptr<StreamSocket> socket;
+    MemoryCharge fixedMemory, inputMemory, outputMemory;
+    std::size_t rankedBytes = 0;  // its place in largestInputs_; 0: none
     const std::shared_ptr<WorkQueue::Share> share = std::make_shared<WorkQueue::Share>();
     RequestInput input;
     Handle self, query;
@@ -71,7 +74,6 @@
     Micros acceptedAt = 0, requestStartedAt = 0, lastUsedAt = 0;
     Micros requestDueAt = 0;  // by when a request that has begun, or the first one, must be complete
     std::string output;
-    std::size_t chargedBytes = 0;  // of heldBytes_
     bool inputDelayed = false;     // processing waits for bytes that are on their way, see delayInput()
     bool peerGone = false;         // the end of the stream, or an error, has been read
     bool inputIncomplete = false;  // more may have arrived than was read
@@ -104,7 +106,9 @@
   void handleRequest(Connection& c, const ReceivedRequest& received, ClientPresence presence);
   void rejectInputOverflow(Connection& c);
   void chargeMemory(Connection& c);
-  void keepMemoryBudget();
+  void relieveMemory();
+  void dropInput(Connection& c);
+  Connection* largestInput();
   void respond(Connection& c, const std::string& response);
   void flush(Connection& c);
   void continueFlush(Handle connection);
@@ -130,14 +134,14 @@
   Counters& counters_;
   Mixer& mixer_;
   int maxConnections_;
-  std::size_t maxHeldBytes_, heldBytes_ = 0;  // by input and output of all connections
   Admission admission_;
   Listener listener_;
   bool draining_ = false, keepAliveStopped_ = false;
   bool sharedListener_ = false;  // another process also accepts from the listener
   Micros answerBy_ = INT64_MAX;
   SharedSlotTable<Connection> connections_;
-  std::array<char, 16384> readBuffer_;  // of the connection that is being read
+  std::set<std::pair<std::size_t, std::uint64_t>> largestInputs_;  // bytes, and the connection's handle
+  std::array<char, 16384> readBuffer_;                             // of the connection that is being read
 };
 
 }  // namespace cometdeal::net
--- a/src/http/string_growth.hpp
+++ b/src/http/string_growth.hpp
@@ -1,4 +1,4 @@
-// Growth of byte strings whose final size is known to be bounded.
+// Growth of byte strings whose final size is known to be bounded, and the release of their memory.
 #pragma once
 
 #include <algorithm>
@@ -18,4 +18,7 @@
   text.swap(grown);
 }
 
+// Empties the string and frees its memory: an assignment of an empty string, or clear(), keeps it.
+inline void releaseMemory(std::string& text) { std::string().swap(text); }
+
 }  // namespace cometdeal::net
--- a/src/http2/session.cpp
+++ b/src/http2/session.cpp
@@ -4,11 +4,14 @@
 
 #include <algorithm>
 
+#include "http/string_growth.hpp"
+
 namespace cometdeal::http2 {
 namespace {
 
 // Output produced at a time; more would only wait for the socket.
 constexpr std::size_t kOutputChunkBytes = 64UL * 1024;
+constexpr std::size_t kKeptOutputCapacity = 4096;  // of an empty buffer, for the next bytes
 // Fields beyond Limits::maxFieldsBytes are counted but dropped. Beyond this multiple of the limit the
 // connection is closed.
 constexpr std::size_t kFieldsAbortFactor = 8;
@@ -282,6 +285,7 @@
         at->second.headersEnd = bytesProduced_;
     headersInChunk_.clear();
   }
+  if (output_.empty() && output_.capacity() > kKeptOutputCapacity) net::releaseMemory(output_);
   return output_;
 }
 
--- a/src/leaf/frame/connections.cpp
+++ b/src/leaf/frame/connections.cpp
@@ -307,6 +307,13 @@
   return std::string_view(frame.bytes).substr(frame.written);
 }
 
+// Only the frame that is being written has its bytes.
+std::size_t FrameConnections::heldBytes(Handle connection) const {
+  const Connection* c = connections_.get(connection);
+  if (!c) return 0;
+  return c->reader.heldBytes() + (c->queue.empty() ? 0 : c->queue.front().bytes.capacity());
+}
+
 // Tracks how many bytes of each part the kernel has accepted: when the connection breaks, that distinguishes
 // "could not connect" (the part cannot have run) from "reset".
 void FrameConnections::bytesWritten(Handle connection, std::size_t bytes) {
--- a/src/leaf/frame/connections.hpp
+++ b/src/leaf/frame/connections.hpp
@@ -107,6 +107,7 @@
   void runDueTimers() override;
 
   std::size_t connectionCount() const override { return connections_.size(); }
+  std::size_t heldBytes(Handle connection) const override;
   std::size_t attemptCount() const { return attempts_.size(); }
   std::size_t timerCount() const { return timers_.size(); }
 
--- a/src/leaf/frame/frame.cpp
+++ b/src/leaf/frame/frame.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <cstdint>
 
+#include "http/string_growth.hpp"
+
 namespace cometdeal::net {
 namespace {
 
@@ -12,6 +14,7 @@
 // frame with a greater length is malformed.
 constexpr std::uint32_t kMaxFrameBytes = 65 * 1024;
 constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kKeptCapacity = 16UL * 1024;  // of an empty buffer, for the next frame
 static_assert(kMaxFrameBytes < 1U << 24, "the last byte of a length is 0, see FrameReader::classify()");
 // Limit of an answer's first line; without it the reader would wait for a line end that never comes.
 constexpr std::size_t kMaxLineBytes = 1024;
@@ -150,6 +153,7 @@
   if (start == FrameStart::invalid) return State::malformed;
   if (start != FrameStart::valid) {
     buffer_.erase(0, from_);
+    if (buffer_.empty() && buffer_.capacity() > kKeptCapacity) releaseMemory(buffer_);
     from_ = 0;
     return State::needMore;
   }
--- a/src/leaf/frame/frame.hpp
+++ b/src/leaf/frame/frame.hpp
@@ -45,6 +45,7 @@
   void append(std::string_view bytes) { buffer_.append(bytes); }
   // Reads the next frame into `out` if it is complete. After `malformed` the connection must be closed.
   State next(Frame& out);
+  std::size_t heldBytes() const { return buffer_.capacity(); }  // memory
   bool partial() const { return buffer_.size() > from_; }  // after `needMore`: a frame is received in part
   // What some bytes are: none, too few to tell, the start of a frame, or bytes that no frame starts with.
   enum class FrameStart { none, incomplete, valid, invalid };
--- a/src/leaf/protocol.hpp
+++ b/src/leaf/protocol.hpp
@@ -73,6 +73,8 @@
   virtual std::optional<Micros> nextTimer() const = 0;  // when runDueTimers() is due; none: no timer is set
   virtual void runDueTimers() = 0;                      // handles the timers that are due
   virtual std::size_t connectionCount() const = 0;      // number of connections
+  // Memory that the connection's input and output take.
+  virtual std::size_t heldBytes(Handle) const { return 0; }
 
  protected:
   LeafProtocol() = default;
--- a/src/leaf/sockets.cpp
+++ b/src/leaf/sockets.cpp
@@ -87,6 +87,7 @@
   if (result.status != IoStatus::done) return result.status;
   protocolNow().received(s.connection, {readBuffer_.data(), result.bytes});
   performEffects();
+  s.memory.set(protocol_->heldBytes(s.connection));
   return result.status;
 }
 
@@ -117,6 +118,7 @@
       continue;
     }
     protocol_->writeBlocked(connection);
+    s->memory.set(protocol_->heldBytes(connection));
     const auto resume = [this, s] {
       if (s->closed) return;
       protocolNow().writable(s->connection);
--- a/src/leaf/sockets.hpp
+++ b/src/leaf/sockets.hpp
@@ -35,9 +35,12 @@
  private:
   struct Socket {
     Socket(Loop& loop, Counters* counters, Handle c)
-        : socket(std::make_unique<StreamSocket>(loop, counters)), connection(c) {}
+        : socket(std::make_unique<StreamSocket>(loop, counters)),
+          connection(c),
+          memory(loop.memory, MemoryAccount::Kind::leafBuffers) {}
     std::unique_ptr<StreamSocket> socket;
     Handle connection;
+    MemoryCharge memory;
     bool closed = false;
   };
   struct Connector;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,6 +16,7 @@
 #include "core/log.hpp"
 #include "core/loop.hpp"
 #include "core/mixer.hpp"
+#include "core/process_memory.hpp"
 #include "core/process_signals.hpp"
 #include "core/system_failure.hpp"
 #include "front/http/server.hpp"
@@ -42,8 +43,6 @@
 constexpr int kLeafDescriptorsDivisor = 3;
 // Client connections that are allowed even if the reserved descriptors leave fewer.
 constexpr int kMinClientConnections = 8;
-// Client connections hold at most 1/kClientMemoryDivisor of the memory in input and output.
-constexpr std::size_t kClientMemoryDivisor = 2;
 // Admin connections, which use kOtherDescriptors: 1/kAdminConnectionsDivisor of all descriptors, within these
 // bounds.
 constexpr int kMinAdminConnections = 4, kMaxAdminConnections = 16, kAdminConnectionsDivisor = 16;
@@ -106,10 +105,9 @@
   return int(std::min<rlim_t>(limit.rlim_cur, rlim_t(configured)));
 }
 
-// The memory that input and output of client connections may take.
-std::size_t clientBytes(int memoryMb, bool shared) {
-  const std::size_t all = std::size_t(std::max(memoryMb, 1)) << 20;
-  return all / kClientMemoryDivisor / (shared ? 2 : 1);
+// The memory that this process may have. During an upgrade two processes share that of one mixer.
+std::size_t memoryLimit(int memoryMb, bool shared) {
+  return (std::size_t(std::max(memoryMb, 1)) << 20) / (shared ? 2 : 1);
 }
 
 #ifdef COMETDEAL_GRPC
@@ -237,9 +235,11 @@
   discovery.onList = [&](const LeafList& list) {
     mixer.updateLeafList(list, list.fullSnapshot ? ListKind::complete : ListKind::changes);
   };
-  HttpServer httpServer(loop, counters, mixer,
-                        std::max(kMinClientConnections, sockets - leafDescriptors - kOtherDescriptors),
-                        clientBytes(config.maxMemoryMb, inherited.has_value()));
+  const int clientConnections =
+      std::max(kMinClientConnections, sockets - leafDescriptors - kOtherDescriptors);
+  const MemoryWatch memoryWatch(loop, memoryLimit(config.maxMemoryMb, inherited.has_value()),
+                                clientConnections);
+  HttpServer httpServer(loop, counters, mixer, clientConnections);
   const auto processStatus = [&] {
     ProcessStatus out;
     out.openQueries = mixer.openQueries();
@@ -366,6 +366,7 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  setUpAllocator();
   try {
     const char* path = std::getenv("BALANCER_CONFIG");
     if (!path) throw ConfigError("BALANCER_CONFIG is not set, expected the path of the configuration file");
