Make no connections between the last accept and the close of the listener

Cause: connections that the kernel makes between the last accept and the close are reset by the close; and an accept that reported 'nobody there' wrongly was believed. Now a filter that drops all segments is set on the listener before its backlog is accepted, so that clients try again and reach the next process, and the listener is asked with poll() before the backlog counts as empty.

Listener.MakesNoConnectionAfterTheBacklogIsAccepted: without the filter the late connection is made.

--- a/src/core/listener.cpp
+++ b/src/core/listener.cpp
@@ -1,9 +1,12 @@
 #include "listener.hpp"
 
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <iterator>
+
 #include "log.hpp"
 #include "system_failure.hpp"
 
@@ -156,14 +159,29 @@
     onDescriptorsExhausted();
 }
 
+// "Nobody there" may be a passing failure, so the listener is asked before that is believed.
 Listener::Backlog Listener::acceptWaiting() {
+  stopAdmitting();
   for (;;) {
     const IoStatus status = acceptOne();
-    if (status == IoStatus::notReady) return Backlog::empty;
     if (status == IoStatus::lacking) return Backlog::unknown;
+    if (status == IoStatus::done) continue;
+    if (!isOpen()) return Backlog::empty;
+    const Readiness now = readiness(acceptor_.native_handle(), POLLIN);
+    if (now != Readiness::ready) return now == Readiness::notReady ? Backlog::empty : Backlog::unknown;
   }
 }
 
+// Connections that are made between the last accept and the close would be reset. With a filter that drops
+// all segments the kernel makes no further ones: clients try again, and reach the next process or none.
+void Listener::stopAdmitting() {
+  if (!isOpen()) return;
+  sock_filter dropAll[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+  const sock_fprog program{std::size(dropAll), dropAll};
+  const int descriptor = acceptor_.native_handle();
+  succeeds([&] { return setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program); });
+}
+
 void Listener::close() {
   error_code ignored;  // close() releases the descriptor whatever it reports
   acceptor_.close(ignored);
--- a/src/core/listener.hpp
+++ b/src/core/listener.hpp
@@ -36,7 +36,8 @@
   void start();
   // To be called when mayAccept() may have become true.
   void resume();
-  // Accepts all connections that wait. `unknown`: a call failed, so more may wait.
+  // Accepts all connections that wait, and lets no further ones be made. Not for a listener that another
+  // process accepts from as well. `unknown`: a call failed, so more may wait.
   Backlog acceptWaiting();
   // Accepts no further connections. One that has been accepted is still passed on.
   void close();
@@ -51,6 +52,7 @@
   IoStatus acceptOne();
   IoStatus passOn();
   void onLacking(int error);
+  void stopAdmitting();
   void tryLater(Micros delay);
 
   Loop& loop_;
--- a/tests/system_failures_test.cpp
+++ b/tests/system_failures_test.cpp
@@ -1,12 +1,14 @@
 // The rules for failed system calls, steps of the wall clock, repeated ids and closing connections.
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
 
 #include "core/connection_rules.hpp"
+#include "core/listener.hpp"
 #include "core/recent_ids.hpp"
 #include "core/start_times.hpp"
 #include "core/stream_socket.hpp"
@@ -219,5 +221,34 @@
   EXPECT_LT(parser.heldBytes(), length + 4'096);
 }
 
+// A client's socket that begins to connect to a port of this machine.
+int beginConnect(std::uint16_t port) {
+  const int out = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(port);
+  connect(out, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  return out;
+}
+
+// Guards against connections that are made between the last accept and the close, and reset by the close.
+TEST(Listener, MakesNoConnectionAfterTheBacklogIsAccepted) {
+  Loop loop;
+  Listener listener(loop, nullptr, "test");
+  int accepted = 0;
+  listener.onAccepted = [&](const std::unique_ptr<StreamSocket>&) { ++accepted; };
+  listener.listen({"127.0.0.1", 0});
+  const int early = beginConnect(listener.port());
+  ASSERT_EQ(readiness(early, POLLOUT), Readiness::ready);
+  EXPECT_EQ(listener.acceptWaiting(), Listener::Backlog::empty);
+  EXPECT_EQ(accepted, 1);
+  const int late = beginConnect(listener.port());
+  usleep(50'000);
+  EXPECT_EQ(readiness(late, POLLOUT), Readiness::notReady);
+  close(early);
+  close(late);
+}
+
 }  // namespace
 }  // namespace cometdeal::net
