Log once a second what clients can cause at will, and never wait for the log's reader; gauges

What operators saw: a line for each of thousands of refusals, which hid all others, and no figure of what was held by whom.

logEvent writes a line a second for each kind and says how many there were. Nothing is written while a write would block, so a stalled reader costs lines, not time (an open risk of the last incident; Log.AStalledReaderHoldsNothingUp would hang before, since the log was written with blocking calls). SIGUSR1 and the exit also print gauges: memory by kind, its limit, work of clients that waits, their longest task.

--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -1,10 +1,8 @@
 #include "counters.hpp"
 
-#include <cinttypes>
-
 namespace cometdeal::net {
 
-void Counters::print(std::FILE* to) const {
+std::string Counters::text() const {
   // In the order of Counter.
   static constexpr std::array<const char*, static_cast<std::size_t>(Counter::number)> names = {
       "client_connections",
@@ -66,16 +64,18 @@
   // In the order of Outcome.
   static constexpr std::array<const char*, static_cast<std::size_t>(Outcome::skipped) + 1> outcomes = {
       "done", "error", "busy", "timed_out", "connect_failed", "reset", "cancelled", "skipped"};
-  for (std::size_t i = 0; i < names.size(); ++i)
-    std::fprintf(to, "counter %s %" PRIu64 "\n", names[i], counts_[i]);
-  for (std::size_t i = 0; i < outcomes.size(); ++i)
-    std::fprintf(to, "counter outcome_%s %" PRIu64 "\n", outcomes[i], outcomes_[i]);
+  std::string out;
+  const auto add = [&out](const std::string& name, std::uint64_t value) {
+    out += "counter " + name + " " + std::to_string(value) + "\n";
+  };
+  for (std::size_t i = 0; i < names.size(); ++i) add(names[i], counts_[i]);
+  for (std::size_t i = 0; i < outcomes.size(); ++i) add(std::string("outcome_") + outcomes[i], outcomes_[i]);
   for (const auto& [name, counts] : classes_) {
-    std::fprintf(to, "counter succeeded.%s %" PRIu64 "\n", name.c_str(), counts.succeeded);
-    std::fprintf(to, "counter declined.%s %" PRIu64 "\n", name.c_str(), counts.declined);
-    std::fprintf(to, "counter aborted.%s %" PRIu64 "\n", name.c_str(), counts.aborted);
+    add("succeeded." + name, counts.succeeded);
+    add("declined." + name, counts.declined);
+    add("aborted." + name, counts.aborted);
   }
-  std::fflush(to);
+  return out;
 }
 
 }  // namespace cometdeal::net
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cometdeal/aggregator.hpp>
 #include <cstdint>
-#include <cstdio>
 #include <map>
 #include <string>
 
@@ -86,8 +85,7 @@
   // Creates the counts of a class on first use. They remain when the settings no longer contain the class.
   ClassCounts& forClass(const std::string& name) { return classes_[name]; }
   const std::map<std::string, ClassCounts>& classes() const { return classes_; }
-  // Prints one line `counter NAME VALUE` for each counter.
-  void print(std::FILE* to) const;
+  std::string text() const;  // one line `counter NAME VALUE` for each counter
 
  private:
   std::array<std::uint64_t, static_cast<std::size_t>(Counter::number)> counts_{};
--- a/src/core/listener.cpp
+++ b/src/core/listener.cpp
@@ -141,7 +141,7 @@
 IoStatus Listener::passOn() {
   const IoResult adopted = unregistered_->adopt(*protocol_, unregisteredDescriptor_);
   if (adopted.status != IoStatus::done) {
-    logLine("%s: cannot register a connection yet: %s", name_, errorText(adopted.error).c_str());
+    logEvent("cannot register a connection yet", "%s: %s", name_, errorText(adopted.error).c_str());
     return IoStatus::lacking;
   }
   unregisteredDescriptor_ = -1;
@@ -151,7 +151,7 @@
 
 void Listener::onLacking(int error) {
   if (counters_) counters_->add(Counter::acceptFailures);
-  logLine("%s: accept: %s", name_, errorText(error).c_str());
+  logEvent("accept", "%s: %s", name_, errorText(error).c_str());
   if (!isOwnDescriptorLimit(error)) return exhaustedSince_.reset();
   if (!exhaustedSince_) exhaustedSince_ = loop_.now();
   const bool lasts = loop_.now() - *exhaustedSince_ >= kExhaustedTime;
--- a/src/front/grpc/server.cpp
+++ b/src/front/grpc/server.cpp
@@ -134,7 +134,7 @@
 void GrpcServer::onReceived(Connection& c, std::string_view bytes, Micros waited) {
   if (!c.closing && !callsWithCurrentTime(c).received(bytes, loop_.now() - waited)) {
     counters_.add(Counter::badRequests);
-    logLine("closing gRPC client connection: %s", c.calls.closeReason().c_str());
+    logEvent("gRPC connection closed", "%s", c.calls.closeReason().c_str());
     c.closing = true;
   }
   chargeMemory(c);
--- a/src/front/http/server.cpp
+++ b/src/front/http/server.cpp
@@ -296,7 +296,7 @@
   if (!c.awaitingAnswer) armTimeout(c);
   if (c.reading.waited < kLongUnreadTime) return;
   counters_.add(Counter::requestsDelayed);
-  logLine("a request waited unread for %d ms", int(c.reading.waited / 1000));
+  logEvent("a request waited unread", "%d ms", int(c.reading.waited / 1000));
 }
 
 // All that had come has been read.
@@ -374,8 +374,8 @@
   counters_.add(Counter::memoryRefusals);
   if (c.awaitingAnswer || c.writing) return c.input.drop();
   counters_.add(Counter::badRequests);
-  logLine("a request is refused: the process holds %zu bytes of %zu, of it %zu for this client",
-          loop_.memory.used(), loop_.memory.limit(), c.inputMemory.bytes());
+  logEvent("a request is refused", "the process holds %zu bytes of %zu, of it %zu for this client",
+           loop_.memory.used(), loop_.memory.limit(), c.inputMemory.bytes());
   c.keepAlive = false;
   c.input.discard();
   const Json body = {
@@ -413,7 +413,7 @@
 // The rest of the requests was dropped, so none can be read any more.
 void HttpServer::rejectInputOverflow(Connection& c) {
   counters_.add(Counter::badRequests);
-  logLine("connection closed: the client sent more requests ahead of an answer than are kept");
+  logEvent("connection closed", "the client sent more requests ahead of an answer than are kept");
   c.keepAlive = false;
   const Json body = {{"error", "over " + std::to_string(RequestInput::kMaxBytes) +
                                    " bytes of requests sent ahead of an answer, or more than there is "
@@ -456,7 +456,7 @@
   counters_.add(Counter::badRequests);
   const std::string* cls = request.header("x-priority-class");
   if (cls && mixer_.host().classIndex(*cls, loop_.now()) >= 0) ++counters_.forClass(*cls).aborted;
-  logLine("request turned away: %s", parsed.error.c_str());
+  logEvent("request turned away", "%s", parsed.error.c_str());
   c.keepAlive = false;
   const Json body = {{"error", parsed.error}};
   respond(c, writeResponse(parsed.status, "", body.dump(), true));
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 
 #include "admin/server.hpp"
 #include "config/config.hpp"
+#include "core/gauges.hpp"
 #include "core/log.hpp"
 #include "core/loop.hpp"
 #include "core/mixer.hpp"
@@ -349,7 +350,7 @@
       reloadAskedAt = loop.now();
       reload();
     } else if (signal == SIGUSR1) {
-      counters.print(stderr);
+      logText(counters.text() + gaugesText(loop));
     } else {
       stop();
     }
@@ -358,7 +359,7 @@
   httpServer.closeAll();
   discovery.stop();
   leaves.closeAll();
-  counters.print(stderr);
+  logText(counters.text() + gaugesText(loop));
   return 0;
 }
 
--- a/tests/system_failures_test.cpp
+++ b/tests/system_failures_test.cpp
@@ -9,6 +9,7 @@
 
 #include "core/connection_rules.hpp"
 #include "core/listener.hpp"
+#include "core/log.hpp"
 #include "core/recent_ids.hpp"
 #include "core/start_times.hpp"
 #include "core/stream_socket.hpp"
@@ -250,5 +251,21 @@
   close(late);
 }
 
+// Guards against a process that waits for the reader of its log.
+TEST(Log, AStalledReaderHoldsNothingUp) {
+  int ends[2];
+  ASSERT_EQ(pipe(ends), 0);
+  const int standardError = dup(STDERR_FILENO);
+  dup2(ends[1], STDERR_FILENO);
+  const std::string line = std::string(99, 'x') + "\n";
+  std::string text;
+  for (int k = 0; k < 10'000; ++k) text += line;
+  logText(text);  // more than a pipe holds
+  for (int k = 0; k < 1'000; ++k) logLine("line %d", k);
+  logEvent("event", "%d", 1);
+  dup2(standardError, STDERR_FILENO);
+  for (const int descriptor : {ends[0], ends[1], standardError}) close(descriptor);
+}
+
 }  // namespace
 }  // namespace cometdeal::net
