--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Build, test, lint and run. CI runs .ci/run.
 SOURCES = $(shell find bench fuzz include src tests -name "*.?pp")
 
-.PHONY: build test sanitize lint check soak long-soak bench fuzz format run clean
+.PHONY: build test sanitize lint check soak long-soak long-flood bench fuzz format run clean
 
 build:
 	cmake -B build -DCOMETDEAL_WERROR=ON -DCOMETDEAL_TESTS=ON
@@ -29,6 +29,9 @@
 
 # Real processes under random, overlapping faults, one run of 12 s for each seed. CTest runs a short one.
 SOAK_SEEDS ?= $(shell seq 1 50)
+long-flood: build
+	for seed in $(SOAK_SEEDS); do build/cometdeal_flood random --seed $$seed --seconds 10 || exit 1; done
+
 long-soak: build
 	for seed in $(SOAK_SEEDS); do build/cometdeal_soak random --seed $$seed --seconds 12 || exit 1; done
 
