--- a/src/core/listener.cpp
+++ b/src/core/listener.cpp
@@ -105,7 +105,10 @@
       acceptSome();
     });
   const Readiness now = readiness(acceptor_.native_handle(), POLLIN);
-  if (now == Readiness::ready) return tryLater(0);
+  if (now == Readiness::ready) {
+    backlogEmpty_ = false;
+    return resume();
+  }
   if (now == Readiness::unknown || loop_.hasFailedRecently()) tryLater(kAskDelay);
 }
 
--- a/src/core/loop.hpp
+++ b/src/core/loop.hpp
@@ -62,11 +62,11 @@
     });
   }
 
+  MemoryAccount memory;  // held for clients, queries and servers; outlives the operations of `io`
   boost::asio::io_context io{1};
   boost::asio::strand<boost::asio::io_context::executor_type> strand;
   Deadlines deadlines;
   WorkQueue clientWork;        // of the fronts
-  MemoryAccount memory;        // held for clients, queries and servers
   std::function<void()> turn;  // runs one turn; set by Mixer
 
  private:
--- a/src/leaf/frame/frame.cpp
+++ b/src/leaf/frame/frame.cpp
@@ -14,7 +14,7 @@
 // frame with a greater length is malformed.
 constexpr std::uint32_t kMaxFrameBytes = 65 * 1024;
 constexpr std::size_t kLengthBytes = 4;
-constexpr std::size_t kKeptCapacity = 16UL * 1024;  // of an empty buffer, for the next frame
+constexpr std::size_t kKeptCapacity = 4UL * 1024;  // of an empty buffer, for the next frame
 static_assert(kMaxFrameBytes < 1U << 24, "the last byte of a length is 0, see FrameReader::classify()");
 // Limit of an answer's first line; without it the reader would wait for a line end that never comes.
 constexpr std::size_t kMaxLineBytes = 1024;
--- a/src/leaf/sockets.cpp
+++ b/src/leaf/sockets.cpp
@@ -109,7 +109,7 @@
   const std::shared_ptr<Socket> s = at->second;
   for (;;) {
     const std::string_view bytes = protocolNow().nextBytes(connection);
-    if (bytes.empty()) return;
+    if (bytes.empty()) return s->memory.set(protocol_->heldBytes(connection));
     const IoResult result = s->socket->write(bytes);
     if (result.status == IoStatus::broken)
       return protocol_->failed(connection, errorText(result.error).c_str());
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -89,6 +89,25 @@
 
 }  // namespace
 
+void watchHolds(Judge& judge) {
+  std::thread([&judge] {
+    constexpr double interval = 0.005, noticed = 0.02;
+    for (double last = standin::now();;) {
+      standin::sleepFor(interval);
+      const double now = standin::now();
+      if (now - last > interval + noticed) judge.heldUp(now, now - last - interval);
+      last = now;
+    }
+  }).detach();
+}
+
+void raiseDescriptorLimit() {
+  rlimit descriptors{};
+  getrlimit(RLIMIT_NOFILE, &descriptors);
+  descriptors.rlim_cur = descriptors.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &descriptors);
+}
+
 json shortSettings() {
   json out = standin::smallSettings();
   out["familyInfo"]["followUp"] = {0, 0, 0};
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -110,6 +110,11 @@
   std::map<std::string, std::vector<double>> partTimes_;  // by server
 };
 
+// Tells the judge, from a thread of its own, when this program gets no processor time.
+void watchHolds(Judge& judge);
+// Lets this program open as many descriptors as the system allows.
+void raiseDescriptorLimit();
+
 // The settings of the runs: short deadlines, one class of each effect.
 nlohmann::json shortSettings();
 
--- a/tests/soak/flood_run.cpp
+++ b/tests/soak/flood_run.cpp
@@ -8,8 +8,6 @@
 //   flood random --seed N       overlapping floods with restarts, SIGKILL, reloads and failing system calls
 //
 // Exit status: 0 no violation, 1 violations (listed on standard output), 2 could not run.
-#include <sys/resource.h>
-
 #include <stdexcept>
 
 #include "clients.hpp"
@@ -95,18 +93,6 @@
     clients = std::make_unique<Clients>(judge, mixers, habits, options.seed);
     clients->start(kTrueClients);
   }
-  // Notices when this program itself gets no processor time.
-  void watchHolds() {
-    std::thread([this] {
-      constexpr double interval = 0.005, noticed = 0.02;
-      for (double last = standin::now();;) {
-        standin::sleepFor(interval);
-        const double now = standin::now();
-        if (now - last > interval + noticed) judge.heldUp(now, now - last - interval);
-        last = now;
-      }
-    }).detach();
-  }
 };
 
 double percentile(const std::vector<double>& sorted, double share) {
@@ -263,14 +249,11 @@
     if (name == "--seconds") options.seconds = std::stod(value);
     if (name == "--share-of-core") options.shareOfCore = std::stod(value);
   }
-  rlimit descriptors{};
-  getrlimit(RLIMIT_NOFILE, &descriptors);
-  descriptors.rlim_cur = descriptors.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &descriptors);
+  raiseDescriptorLimit();
   standin::recordFile() = std::fopen((programs.folder + "/record").c_str(), "w");
   standin::now();
   static Run run(programs, options);
-  run.watchHolds();
+  watchHolds(run.judge);
   int status = 2;
   try {
     if (options.mode == "shape") status = oneShape(run);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -14,8 +14,6 @@
 // `--mixer PROGRAM` runs another mixer than the one that was built with it.
 //
 // Exit status: 0 no violation, 1 violations (listed on standard output), 2 could not run.
-#include <sys/resource.h>
-
 #include <cstring>
 
 #include "clients.hpp"
@@ -80,18 +78,6 @@
 
   Run(Programs p, Options o)
       : programs(std::move(p)), options(std::move(o)), random(options.seed), leaves(judge, options.seed) {}
-  // Notices when this program itself gets no processor time.
-  void watchHolds() {
-    std::thread([this] {
-      constexpr double interval = 0.005, noticed = 0.02;
-      for (double last = standin::now();;) {
-        standin::sleepFor(interval);
-        const double now = standin::now();
-        if (now - last > interval + noticed) judge.heldUp(now, now - last - interval);
-        last = now;
-      }
-    }).detach();
-  }
   double chance() { return double(random() % 10'000) / 10'000; }
 
   void startMixers(int count, int sharedFrom) {
@@ -405,14 +391,11 @@
     if (name == "--seconds") options.seconds = std::stod(value);
     if (name == "--step") options.step = std::stod(value);
   }
-  rlimit descriptors{};
-  getrlimit(RLIMIT_NOFILE, &descriptors);
-  descriptors.rlim_cur = descriptors.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &descriptors);
+  raiseDescriptorLimit();
   standin::recordFile() = std::fopen((programs.folder + "/record").c_str(), "w");
   standin::now();
   static Run run(programs, options);
-  run.watchHolds();
+  watchHolds(run.judge);
   int status = 2;
   if (options.mode == "single") status = single(run);
   if (options.mode == "table") status = table(run);
